--- /dev/null
+++ b/packages/runtime/src/message_task.ts
@@ -0,0 +1,53 @@
+/** Tasks that own their state and are driven by messages only. */
+
+/**
+ * Handles one message at a time, in order of arrival. A subclass keeps its
+ * sockets and state private; other code reaches them only by `post`.
+ */
+export abstract class MessageTask<M> {
+  private readonly mailbox: M[] = [];
+  private draining = false;
+  private closed = false;
+
+  constructor(readonly name: string) {}
+
+  /** Number of messages that wait. */
+  get backlog(): number {
+    return this.mailbox.length;
+  }
+
+  /** Queues a message; messages after `close` are dropped. */
+  post(message: M): void {
+    if (this.closed) return;
+    this.mailbox.push(message);
+    if (!this.draining) void this.drain();
+  }
+
+  /** Stops handling; waiting messages are dropped. */
+  close(): void {
+    this.closed = true;
+    this.mailbox.length = 0;
+  }
+
+  /** Handles one message; may be asynchronous. */
+  protected abstract handle(message: M): Promise<void> | void;
+
+  /** Called with an error that `handle` threw; the task goes on. */
+  protected abstract onError(err: unknown, message: M): void;
+
+  private async drain(): Promise<void> {
+    this.draining = true;
+    for (;;) {
+      const message = this.mailbox.shift();
+      if (message === undefined) break;
+      try {
+        const pending = this.handle(message);
+        // A synchronous handler needs no extra turn of the event loop.
+        if (pending !== undefined) await pending;
+      } catch (err) {
+        this.onError(err, message);
+      }
+    }
+    this.draining = false;
+  }
+}
