Define HTTP bodies, upstream protocol and settings types

Cause: packages are written side by side and need fixed contracts. Result: type check and lint pass (npm run typecheck, npm run lint).

--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -1,3 +1,19 @@
+export type {
+  AnswersAccepted,
+  AnswersView,
+  AuditEntry,
+  AuditPage,
+  ConfigView,
+  ExplainStep,
+  InstanceView,
+  JobView,
+  Problem,
+  SharesView,
+  SubmitJobRequest,
+  TeamShare,
+  UpstreamView,
+} from './api.js';
+export {PROBLEM_MEDIA_TYPE} from './api.js';
 export {
   assertNever,
   type ErrorOutcome,
@@ -30,6 +46,28 @@
   type Resources,
   subtractResources,
 } from './resources.js';
+export {
+  type AccessTokens,
+  dataCentresOf,
+  type InstanceAddress,
+  type InstanceSettings,
+  type PolicyNames,
+  type RequestLimits,
+} from './settings.js';
+export type {
+  AnnounceReply,
+  AnnounceRequest,
+  LeaveRequest,
+  OwnerEpoch,
+  RenewLeasesReply,
+  RenewLeasesRequest,
+  StartRefusal,
+  StartTaskRequest,
+  StopTaskRequest,
+  TaskReply,
+  TaskState,
+  ThrottleTaskRequest,
+} from './upstream_protocol.js';
 export {
   type UpstreamAnnouncement,
   type UpstreamId,
--- /dev/null
+++ b/packages/model/src/settings.ts
@@ -0,0 +1,72 @@
+/** Settings of one entry instance, as loaded from its INI file. */
+
+/** An instance as listed in the settings, this one included. */
+export interface InstanceAddress {
+  readonly name: string;
+  readonly dataCentre: string;
+  /** `IP:PORT` of the HTTP listener that also serves the peers. */
+  readonly address: string;
+  /** Whether it has a data folder on a disk. */
+  readonly disk: boolean;
+}
+
+/** Bearer tokens; each list is empty when the interface is open. */
+export interface AccessTokens {
+  readonly clients: readonly string[];
+  readonly operators: readonly string[];
+  readonly upstreams: readonly string[];
+  readonly instances: readonly string[];
+}
+
+/** Bounds on requests and queues. */
+export interface RequestLimits {
+  readonly maxBodyBytes: number;
+  readonly maxHeaderBytes: number;
+  readonly maxTasksPerJob: number;
+  readonly maxQueuedTasks: number;
+  readonly maxConnections: number;
+  readonly maxWaitMs: number;
+  /** Time that a job may wait for an upstream that could ever run it. */
+  readonly unknownUpstreamWaitMs: number;
+}
+
+/** Names of the policies in use, for experiments with baselines. */
+export interface PolicyNames {
+  readonly routing:
+    'expected-end' | 'two-choices' | 'least-outstanding' | 'random';
+  readonly sharing: 'weighted-fair' | 'first-in-first-out';
+  readonly hedging: 'expected-gain' | 'off';
+}
+
+/** Settings of one entry instance. Durations are in milliseconds. */
+export interface InstanceSettings {
+  readonly name: string;
+  readonly dataCentre: string;
+  /** `IP:PORT` to listen on; the address in `instances` may differ. */
+  readonly listen: string;
+  /** Absolute path of the data folder; empty for an instance without a disk. */
+  readonly dataFolder: string;
+  readonly instances: readonly InstanceAddress[];
+  /** Names of the instances that vote in the control log. */
+  readonly controlVoters: readonly string[];
+  readonly recordGroups: number;
+  readonly recordRetentionMs: number;
+  readonly heartbeatMs: number;
+  readonly electionTimeoutMs: number;
+  readonly taskLeaseMs: number;
+  readonly upstreamRenewalMs: number;
+  readonly upstreamExpiryMs: number;
+  readonly drainTimeoutMs: number;
+  readonly logLevel: 'debug' | 'info' | 'warn' | 'error' | 'silent';
+  /** `HOST:PORT` of a StatsD receiver; empty for none. */
+  readonly statsd: string;
+  readonly tokens: AccessTokens;
+  readonly limits: RequestLimits;
+  readonly policies: PolicyNames;
+}
+
+/** Data centres named by the listed instances, sorted, each once. */
+export function dataCentresOf(settings: InstanceSettings): readonly string[] {
+  const names = settings.instances.map(instance => instance.dataCentre);
+  return [...new Set(names)].sort();
+}
