Add replicated state of records and control log

Cause: the entry daemon needs submission records, answers, record groups and the audit trail as deterministic state machines.

--- /dev/null
+++ b/packages/coordination/src/control/audit_chain.ts
@@ -0,0 +1,68 @@
+/** Hash chain of the audit trail. */
+import {createHash} from 'node:crypto';
+
+import type {AuditEntry} from '@mustardferry/model';
+
+/** An audit entry before it has its place in the chain. */
+export type AuditContent = Omit<AuditEntry, 'hash'>;
+
+/** Result of a check of the chain. */
+export type AuditVerification =
+  | {readonly valid: true; readonly lastHash: string}
+  | {
+      readonly valid: false;
+      /** Index of the first entry that is changed, missing or out of order. */
+      readonly index: number;
+      readonly fault: 'changed' | 'missing' | 'reordered';
+    };
+
+/** SHA-256, hex, over the previous hash and the members in a fixed order. */
+export function auditHash(previousHash: string, entry: AuditContent): string {
+  const content = JSON.stringify([
+    previousHash,
+    entry.index,
+    entry.atMs,
+    entry.operator,
+    entry.requestId,
+    entry.action,
+    entry.team,
+    entry.fromRevision,
+    entry.toRevision,
+    entry.before,
+    entry.after,
+    entry.detail,
+  ]);
+  return createHash('sha256').update(content).digest('hex');
+}
+
+/**
+ * Checks consecutive entries against the hash of the entry before them (empty
+ * at the start of the trail). Indexes grow by one from 1. Entries cut off at
+ * the end are found by comparing `lastIndex` of the page only.
+ */
+export function verifyAuditChain(
+  entries: readonly AuditEntry[],
+  previousHash: string,
+): AuditVerification {
+  let expected = previousHash === '' ? 1 : (entries[0]?.index ?? 1);
+  let hash = previousHash;
+  for (const [at, entry] of entries.entries()) {
+    if (entry.index !== expected) {
+      const found = entries.some(
+        (other, i) => i > at && other.index === expected,
+      );
+      const reordered = found || entry.index < expected;
+      return {
+        valid: false,
+        index: expected,
+        fault: reordered ? 'reordered' : 'missing',
+      };
+    }
+    if (auditHash(hash, entry) !== entry.hash) {
+      return {valid: false, index: expected, fault: 'changed'};
+    }
+    hash = entry.hash;
+    expected++;
+  }
+  return {valid: true, lastHash: hash};
+}
--- /dev/null
+++ b/packages/coordination/src/control/control_state.ts
@@ -0,0 +1,291 @@
+/** Replicated state of the control log. */
+import {
+  assertNever,
+  type AuditEntry,
+  type AuditPage,
+  EMPTY_POLICY,
+  type Policy,
+} from '@mustardferry/model';
+import {pack, unpack} from 'msgpackr';
+
+import {SnapshotFormatError} from '../errors.js';
+import {StateMachine} from '../state_machine.js';
+import {invalid, refuseAnswers} from './answers_check.js';
+import {AuditTail, type AuditTailSnapshot} from './audit_tail.js';
+import type {
+  AbandonGroupCommand,
+  AcceptAnswersCommand,
+  ControlCommand,
+  ControlResult,
+  DefineGroupsCommand,
+  FirstControlResult,
+  RecordGroupView,
+  RegisteredInstance,
+  RegisterInstanceCommand,
+  SetDrainingCommand,
+  TeamAnswers,
+} from './control_messages.js';
+import {type InstanceEntry, InstanceRegistry} from './instance_registry.js';
+import {RecordGroups} from './record_groups.js';
+import {
+  type OperatorCommand,
+  type RememberedRequest,
+  RequestMemory,
+} from './request_memory.js';
+
+const FORMAT = 1;
+
+interface ControlSnapshot {
+  readonly format: number;
+  readonly revision: number;
+  readonly answers: readonly TeamAnswers[];
+  readonly instances: readonly InstanceEntry[];
+  readonly groups: readonly RecordGroupView[];
+  readonly requests: readonly RememberedRequest[];
+  readonly audit: AuditTailSnapshot;
+}
+
+/** Detail of a refused change in the audit trail. */
+function describe(result: ControlResult): string {
+  switch (result.outcome) {
+    case 'accepted':
+      return '';
+    case 'conflict': {
+      const {operator, requestId, revision} = result.winner;
+      return `conflict: revision ${revision} by ${operator}, request ${requestId}`;
+    }
+    case 'invalid':
+      return `${result.code}: ${result.detail}`;
+    case 'repeated':
+      return 'repeated';
+    default:
+      return assertNever(result);
+  }
+}
+
+function generatePolicy(
+  revision: number,
+  answers: ReadonlyMap<string, TeamAnswers>,
+): Policy {
+  const teams = [...answers.keys()].sort().flatMap(team => {
+    const policy = answers.get(team)?.policy;
+    return policy === undefined ? [] : [policy];
+  });
+  return Object.freeze({revision, teams: Object.freeze(teams)});
+}
+
+/** Answers, generated policy, instances, record groups and audit trail. */
+export class ControlState extends StateMachine<ControlCommand, ControlResult> {
+  private answersByTeam = new Map<string, TeamAnswers>();
+  private instancesByName = new InstanceRegistry();
+  private recordGroups = new RecordGroups();
+  private requests = new RequestMemory();
+  private audit = new AuditTail();
+  private cachedPolicy: Policy = EMPTY_POLICY;
+
+  private readonly incarnationOf = (name: string): string | undefined =>
+    this.instancesByName.get(name)?.incarnation;
+
+  override apply(command: ControlCommand, index: number): ControlResult {
+    switch (command.type) {
+      case 'accept-answers':
+        return this.once(command, () => this.acceptAnswers(command, index));
+      case 'set-draining':
+        return this.once(command, () => this.setDraining(command, index));
+      case 'register-instance':
+        return this.registerInstance(command, index);
+      case 'abandon-group':
+        return this.abandonGroup(command, index);
+      case 'define-groups':
+        return this.defineGroups(command, index);
+      default:
+        return assertNever(command);
+    }
+  }
+
+  override snapshot(): Uint8Array {
+    const state: ControlSnapshot = {
+      format: FORMAT,
+      revision: this.cachedPolicy.revision,
+      answers: [...this.answersByTeam.values()],
+      instances: this.instancesByName.snapshot(),
+      groups: this.recordGroups.list(),
+      requests: this.requests.snapshot(),
+      audit: this.audit.snapshot(),
+    };
+    return pack(state);
+  }
+
+  /** @throws SnapshotFormatError when another format version wrote the bytes. */
+  override restore(bytes: Uint8Array): void {
+    const state = unpack(bytes) as ControlSnapshot;
+    if (state.format !== FORMAT) {
+      throw new SnapshotFormatError(`control snapshot format ${state.format}`);
+    }
+    this.answersByTeam = new Map(state.answers.map(each => [each.team, each]));
+    this.instancesByName = new InstanceRegistry(state.instances);
+    this.recordGroups = new RecordGroups(state.groups);
+    this.requests = new RequestMemory(state.requests);
+    this.audit = new AuditTail(state.audit);
+    this.cachedPolicy = generatePolicy(state.revision, this.answersByTeam);
+  }
+
+  /** The configuration in force; the same object until it changes. */
+  get policy(): Policy {
+    return this.cachedPolicy;
+  }
+
+  answers(team: string): TeamAnswers | undefined {
+    return this.answersByTeam.get(team);
+  }
+
+  instances(): readonly RegisteredInstance[] {
+    return this.instancesByName.list();
+  }
+
+  instance(name: string): RegisteredInstance | undefined {
+    return this.instancesByName.get(name);
+  }
+
+  groups(): readonly RecordGroupView[] {
+    return this.recordGroups.list();
+  }
+
+  group(group: string): RecordGroupView | undefined {
+    return this.recordGroups.get(group);
+  }
+
+  get lastAuditIndex(): number {
+    return this.audit.lastIndex;
+  }
+
+  /** Audit entries after an index, or undefined when some left memory. */
+  auditPage(after: number, limit: number): AuditPage | undefined {
+    return this.audit.page(after, limit);
+  }
+
+  /** Applies a request id once and records its result. */
+  private once(
+    command: OperatorCommand,
+    run: () => FirstControlResult,
+  ): ControlResult {
+    const known = this.requests.recall(command);
+    if (known !== undefined) {
+      if (known.outcome !== 'repeated') this.recordChange(command, known);
+      return known;
+    }
+    const first = run();
+    this.requests.remember(command, first);
+    return first;
+  }
+
+  private acceptAnswers(
+    command: AcceptAnswersCommand,
+    index: number,
+  ): FirstControlResult {
+    const {team, text, policy, operator, requestId} = command;
+    const refusal = refuseAnswers(command, this.answersByTeam);
+    const result = refusal ?? {outcome: 'accepted', revision: index};
+    this.recordChange(command, result);
+    if (refusal === undefined) {
+      const changed = {team, text, policy, operator, requestId};
+      this.answersByTeam.set(team, {...changed, revision: index});
+      this.cachedPolicy = generatePolicy(index, this.answersByTeam);
+    }
+    return result;
+  }
+
+  private setDraining(
+    command: SetDrainingCommand,
+    index: number,
+  ): FirstControlResult {
+    const instance = this.instancesByName.get(command.instance);
+    const result: FirstControlResult =
+      instance === undefined
+        ? invalid('unknown-instance', command.instance)
+        : {outcome: 'accepted', revision: index};
+    this.recordChange(command, result);
+    if (instance !== undefined) {
+      this.instancesByName.setDraining(instance, command.draining);
+    }
+    return result;
+  }
+
+  /** Adds an audit entry; called before the change takes effect. */
+  private recordChange(command: OperatorCommand, result: ControlResult): void {
+    const {atMs, operator, requestId} = command;
+    const who = {atMs, operator, requestId, detail: describe(result)};
+    this.audit.append({...who, ...this.changeOf(command, result)});
+  }
+
+  private changeOf(
+    command: OperatorCommand,
+    result: ControlResult,
+  ): Pick<
+    AuditEntry,
+    'action' | 'team' | 'fromRevision' | 'toRevision' | 'before' | 'after'
+  > {
+    const revision =
+      result.outcome === 'accepted' ? result.revision : undefined;
+    if (command.type === 'set-draining') {
+      const {instance, draining} = command;
+      const before = this.instancesByName.get(instance)?.draining ?? false;
+      return {
+        action: 'drain',
+        team: '',
+        fromRevision: 0,
+        toRevision: revision ?? 0,
+        before: `${instance} draining=${before}`,
+        after: `${instance} draining=${draining}`,
+      };
+    }
+    const current = this.answersByTeam.get(command.team);
+    const fromRevision = current?.revision ?? 0;
+    return {
+      action: revision === undefined ? 'answers-refused' : 'answers-accepted',
+      team: command.team,
+      fromRevision,
+      toRevision: revision ?? fromRevision,
+      before: current?.text ?? '',
+      after: command.text,
+    };
+  }
+
+  private registerInstance(
+    command: RegisterInstanceCommand,
+    index: number,
+  ): ControlResult {
+    const {name, incarnation, atMs} = command;
+    const registered = this.instancesByName.register(command);
+    if (registered === 'old') {
+      return invalid('old-incarnation', `${name} ${incarnation}`);
+    }
+    if (registered === 'new') this.recordGroups.withdraw(name);
+    this.recordGroups.form(this.incarnationOf, atMs);
+    return {outcome: 'accepted', revision: index};
+  }
+
+  private abandonGroup(
+    command: AbandonGroupCommand,
+    index: number,
+  ): ControlResult {
+    const {instance, incarnation, atMs} = command;
+    if (this.incarnationOf(instance) !== incarnation) {
+      return invalid('old-incarnation', `${instance} ${incarnation}`);
+    }
+    const refusal = this.recordGroups.abandon(command);
+    if (refusal !== undefined) return refusal;
+    this.recordGroups.form(this.incarnationOf, atMs);
+    return {outcome: 'accepted', revision: index};
+  }
+
+  private defineGroups(
+    command: DefineGroupsCommand,
+    index: number,
+  ): ControlResult {
+    const refusal = this.recordGroups.define(command.groups);
+    if (refusal !== undefined) return refusal;
+    this.recordGroups.form(this.incarnationOf, command.atMs);
+    return {outcome: 'accepted', revision: index};
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/control/record_groups.ts
@@ -0,0 +1,88 @@
+/** Record groups of the deployment and their generations. */
+import {invalid} from './answers_check.js';
+import type {
+  AbandonGroupCommand,
+  FirstControlResult,
+  RecordGroupDefinition,
+  RecordGroupView,
+} from './control_messages.js';
+import {
+  formGroup,
+  type IncarnationOf,
+  recordAbandonment,
+  withdrawAbandonment,
+} from './group_formation.js';
+
+function sameNames(a: readonly string[], b: readonly string[]): boolean {
+  return a.length === b.length && a.every((name, i) => name === b[i]);
+}
+
+/** Record groups by id, in order of definition. */
+export class RecordGroups {
+  private readonly views: Map<string, RecordGroupView>;
+
+  constructor(from: readonly RecordGroupView[] = []) {
+    this.views = new Map(from.map(view => [view.group, view]));
+  }
+
+  get(group: string): RecordGroupView | undefined {
+    return this.views.get(group);
+  }
+
+  list(): readonly RecordGroupView[] {
+    return [...this.views.values()];
+  }
+
+  /** Adds groups, all or none; returns why they are refused. */
+  define(
+    groups: readonly RecordGroupDefinition[],
+  ): FirstControlResult | undefined {
+    for (const {group, names} of groups) {
+      if (names.length === 0 || new Set(names).size !== names.length) {
+        return invalid('bad-group-definition', group);
+      }
+      const known = this.views.get(group);
+      if (known?.current === undefined) continue;
+      // Quorums of a granted generation depend on its names.
+      if (!sameNames(known.names, names)) {
+        return invalid('group-has-generation', group);
+      }
+    }
+    for (const {group, names} of groups) {
+      if (this.views.get(group)?.current !== undefined) continue;
+      this.views.set(group, {group, names, abandonedBy: []});
+    }
+    return undefined;
+  }
+
+  /** Voids the promises of earlier incarnations of a name. */
+  withdraw(name: string): void {
+    for (const view of this.list()) {
+      this.views.set(view.group, withdrawAbandonment(view, name));
+    }
+  }
+
+  /** Records the promise of a registered incarnation, or tells why not. */
+  abandon(command: AbandonGroupCommand): FirstControlResult | undefined {
+    const {group, generation, instance, incarnation, atMs} = command;
+    const view = this.views.get(group);
+    if (view?.current === undefined) return invalid('unknown-group', group);
+    const current = view.current.generation;
+    if (current !== generation) {
+      return invalid('old-generation', `${group} is at generation ${current}`);
+    }
+    if (!view.names.includes(instance)) {
+      return invalid('not-a-voter-name', `${instance} in ${group}`);
+    }
+    const promise = {name: instance, incarnation, atMs};
+    this.views.set(group, recordAbandonment(view, promise));
+    return undefined;
+  }
+
+  /** Grants the generations that the state now allows. */
+  form(incarnationOf: IncarnationOf, atMs: number): void {
+    for (const view of this.list()) {
+      this.views.set(view.group, formGroup(view, incarnationOf, atMs));
+    }
+  }
+}
--- /dev/null
+++ b/packages/coordination/tests/records/records_state.test.ts
@@ -0,0 +1,285 @@
+import {expect} from 'chai';
+
+import type {
+  AdmitCommand,
+  RecordsCommand,
+  RecordsResult,
+  StartItem,
+} from '../../src/records/record_messages.js';
+import {RecordsState} from '../../src/records/records_state.js';
+
+const UPSTREAM = {address: '127.0.0.1:9000', incarnation: 1};
+
+function admit(change: Partial<AdmitCommand> = {}): AdmitCommand {
+  return {
+    type: 'admit',
+    jobId: 'a.0.x',
+    team: 'coop',
+    kind: 'posting',
+    idempotencyKey: 'x',
+    digest: 'd1',
+    repeatable: false,
+    tasks: [
+      {id: 't0', payload: {amount: 1}},
+      {id: 't1', payload: null},
+    ],
+    atMs: 1_000,
+    keepUntilMs: 61_000,
+    ...change,
+  };
+}
+
+function start(change: Partial<StartItem> = {}): RecordsCommand {
+  const item = {jobId: 'a.0.x', taskIndex: 0, attempt: 1, atMs: 1_001};
+  return {type: 'start', starts: [{...item, upstream: UPSTREAM, ...change}]};
+}
+
+function seal(attempt: number, taskIndex = 0): RecordsCommand {
+  return {type: 'seal', jobId: 'a.0.x', taskIndex, attempt};
+}
+
+function finish(
+  outcome: 'complete' | 'not-run' | 'failed',
+  ids: readonly string[] = ['t0', 't1'],
+): RecordsCommand {
+  const jobId = 'a.0.x';
+  const results = ids.map(id => ({id, value: 1}));
+  return {
+    type: 'finish',
+    jobId,
+    atMs: 2_000,
+    answer:
+      outcome === 'complete'
+        ? {outcome, jobId, results}
+        : {outcome, jobId, code: 'c', detail: ''},
+  };
+}
+
+/** Reason or outcome of a result, the part that the tables compare. */
+function verdict(result: RecordsResult): unknown {
+  if (result.type === 'start') {
+    return result.results.map(one =>
+      one.outcome === 'refused' ? one.reason : one.outcome,
+    )[0];
+  }
+  if (result.type === 'finish' && result.outcome === 'refused') {
+    return result.reason;
+  }
+  return 'outcome' in result ? result.outcome : result;
+}
+
+/** Applies commands and checks that a restored copy is in the same state. */
+function run(commands: readonly RecordsCommand[]): {
+  state: RecordsState;
+  last: unknown;
+} {
+  let state = new RecordsState();
+  let last: unknown;
+  for (const command of commands) {
+    last = verdict(state.apply(command));
+    const copy = new RecordsState();
+    copy.restore(state.snapshot());
+    expect(copy.snapshot()).to.deep.equal(state.snapshot());
+    expect(copy.approximateBytes()).to.equal(state.approximateBytes());
+    state = copy;
+  }
+  return {state, last};
+}
+
+const MARK: RecordsCommand = {
+  type: 'mark-generation',
+  generation: 2,
+  grantedAtMs: 5_000,
+  unknownUntilMs: 65_000,
+};
+
+function importOf(commands: readonly RecordsCommand[]): RecordsCommand {
+  return {type: 'import-durable', records: run(commands).state.records()};
+}
+
+const REPEATABLE = admit({repeatable: true});
+
+const CASES: readonly [string, readonly RecordsCommand[], unknown][] = [
+  ['a second job for a resubmission', [admit(), admit()], 'joined'],
+  [
+    'a join with another body',
+    [admit(), admit({digest: 'd2', atMs: 2_000})],
+    'conflict',
+  ],
+  [
+    'a lost answer after the job ended',
+    [admit(), finish('complete'), admit()],
+    'joined',
+  ],
+  [
+    'a second start',
+    [admit(), start(), start({attempt: 2})],
+    'already-started',
+  ],
+  ['a repeated start proposal', [admit(), start(), start()], 'already-started'],
+  [
+    'a task that stays blocked after its attempt was sealed',
+    [admit(), start(), seal(1), start({attempt: 2})],
+    'started',
+  ],
+  [
+    'a sealed attempt that starts again',
+    [admit(), start(), seal(1), start()],
+    'stale-attempt',
+  ],
+  [
+    'a seal of one task that frees another',
+    [admit(), start(), start({taskIndex: 1}), seal(1), start({taskIndex: 1})],
+    'already-started',
+  ],
+  ['a seal without a start', [admit(), seal(1)], 'unknown-start'],
+  [
+    'a blocked retry of a repeatable task',
+    [REPEATABLE, start(), start({attempt: 2})],
+    'started',
+  ],
+  [
+    'a start after the answer',
+    [admit(), finish('failed'), start()],
+    'finished',
+  ],
+  ['a start without a record', [start()], 'unknown-job'],
+  ['a start beyond the job', [admit(), start({taskIndex: 2})], 'unknown-task'],
+  [
+    'a partial answer',
+    [admit(), finish('complete', ['t0'])],
+    'answer-mismatch',
+  ],
+  [
+    'results in another order',
+    [admit(), finish('complete', ['t1', 't0'])],
+    'answer-mismatch',
+  ],
+  [
+    'not-run after a start',
+    [admit(), start(), finish('not-run')],
+    'task-started',
+  ],
+  [
+    'not-run refused although the start was sealed',
+    [admit(), start(), seal(1), finish('not-run')],
+    'finished',
+  ],
+  [
+    'a second answer',
+    [admit(), finish('failed'), finish('complete')],
+    'already-finished',
+  ],
+  ['a new admission after a lost generation', [MARK, admit()], 'unknown'],
+  [
+    'a blocked group after retention ended',
+    [MARK, admit({atMs: 65_000})],
+    'admitted',
+  ],
+  [
+    'a blocked new submission whose key was generated after the grant',
+    [MARK, admit({atMs: 6_000, keyGeneratedAtMs: 5_001})],
+    'admitted',
+  ],
+  [
+    'a second admission of a key generated before the grant',
+    [MARK, admit({atMs: 6_000, keyGeneratedAtMs: 5_000})],
+    'unknown',
+  ],
+  [
+    'a late mark that shortens the time',
+    [MARK, {...MARK, generation: 1, unknownUntilMs: 1}, admit()],
+    'unknown',
+  ],
+  [
+    'a start whose earlier start record was lost',
+    [MARK, importOf([admit()]), start()],
+    'earlier-generation',
+  ],
+  [
+    'a repeatable task that never runs again after a lost generation',
+    [MARK, importOf([REPEATABLE]), start()],
+    'started',
+  ],
+  [
+    'not-run for a job of an earlier generation',
+    [MARK, importOf([admit()]), finish('not-run')],
+    'task-started',
+  ],
+  [
+    'an imported answer that a later import replaces',
+    [
+      MARK,
+      importOf([admit(), finish('failed')]),
+      importOf([admit(), start()]),
+      finish('complete'),
+    ],
+    'already-finished',
+  ],
+  [
+    'growth beyond the maximum',
+    [
+      {type: 'configure', maxRecords: 1},
+      admit(),
+      admit({jobId: 'a.0.y', idempotencyKey: 'y'}),
+    ],
+    'full',
+  ],
+  [
+    'a refused resubmission when the group is full',
+    [{type: 'configure', maxRecords: 1}, admit(), admit()],
+    'joined',
+  ],
+  [
+    'expiry before the time promised',
+    [admit(), finish('failed'), {type: 'expire', beforeMs: 61_000}, admit()],
+    'joined',
+  ],
+  [
+    'records that never expire',
+    [admit(), finish('failed'), {type: 'expire', beforeMs: 61_001}, admit()],
+    'admitted',
+  ],
+  [
+    'expiry of a running job, which a resubmission would start again',
+    [admit(), {type: 'expire', beforeMs: 99_000}, admit()],
+    'joined',
+  ],
+];
+
+describe('RecordsState', () => {
+  for (const [guarded, commands, expected] of CASES) {
+    it(`prevents ${guarded}`, () => {
+      expect(run(commands).last).to.deep.equal(expected);
+    });
+  }
+
+  it('frees memory after expiry, so that use stays bounded', () => {
+    const {state} = run([
+      admit(),
+      start(),
+      finish('complete'),
+      {type: 'expire', beforeMs: 62_000},
+    ]);
+    expect(state.approximateBytes()).to.equal(0);
+    expect(state.counts()).to.include({total: 0, unfinished: 0});
+  });
+
+  it('lists unfinished jobs in order, so that a new leader misses none', () => {
+    const {state} = run([
+      admit(),
+      admit({jobId: 'a.0.y'}),
+      admit({jobId: 'a.0.z'}),
+      finish('failed'),
+    ]);
+    const ids = state.unfinished().map(record => record.jobId);
+    expect(ids).to.deep.equal(['a.0.y', 'a.0.z']);
+    expect(state.get('a.0.x')?.answer?.outcome).to.equal('failed');
+  });
+
+  it('does not claim that an id of a lost generation was never admitted', () => {
+    const {state} = run([MARK]);
+    expect(state.lookup('a.0.x', 64_999).state).to.equal('unknown');
+    expect(state.lookup('a.0.x', 65_000).state).to.equal('never-admitted');
+  });
+});
