--- /dev/null
+++ b/packages/decisions/src/common/lru_map.ts
@@ -0,0 +1,42 @@
+/** Map of bounded size that forgets the entry unused for longest. */
+
+/** Bounded map by text key. */
+export class LruMap<V> {
+  private readonly entries = new Map<string, V>();
+
+  constructor(private readonly maxEntries: number) {}
+
+  get size(): number {
+    return this.entries.size;
+  }
+
+  /** Reads without marking the entry as used. */
+  get(key: string): V | undefined {
+    return this.entries.get(key);
+  }
+
+  /** Reads or creates an entry and marks it as used. */
+  ensure(key: string, create: () => V): V {
+    const found = this.entries.get(key);
+    if (found !== undefined) this.entries.delete(key);
+    const value = found ?? create();
+    this.entries.set(key, value);
+    if (this.entries.size > this.maxEntries) this.dropOldest();
+    return value;
+  }
+
+  delete(key: string): void {
+    this.entries.delete(key);
+  }
+
+  values(): Iterable<V> {
+    return this.entries.values();
+  }
+
+  private dropOldest(): void {
+    for (const key of this.entries.keys()) {
+      this.entries.delete(key);
+      return;
+    }
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/explain/format_explanation.ts
@@ -0,0 +1,26 @@
+/** Text form of the steps of a job, for operators. */
+import type {ExplainStep} from '@mustardferry/model';
+
+import {type ReasonCode, REASONS} from './reasons.js';
+
+function meaningOf(reason: string): string {
+  return Object.hasOwn(REASONS, reason) ? REASONS[reason as ReasonCode] : '';
+}
+
+function formatStep(step: ExplainStep, startMs: number): string {
+  const offset = `+${step.atMs - startMs} ms`.padStart(10);
+  const subject = step.taskId === '' ? 'job' : `task ${step.taskId}`;
+  const meaning = meaningOf(step.reason);
+  const parts = [`${offset}  ${subject} ${step.step}: ${step.reason}`];
+  if (meaning) parts.push(`(${meaning})`);
+  if (step.detail) parts.push(step.detail);
+  if (step.answer) parts.push(`[answer ${step.answer}]`);
+  return parts.join(' ');
+}
+
+/** One line for each step, oldest first, with times relative to the first. */
+export function formatExplanation(steps: readonly ExplainStep[]): string {
+  const ordered = [...steps].sort((a, b) => a.atMs - b.atMs);
+  const startMs = ordered[0]?.atMs ?? 0;
+  return ordered.map(step => formatStep(step, startMs)).join('\n');
+}
