--- /dev/null
+++ b/packages/decisions/src/homing/key_movement.ts
@@ -0,0 +1,36 @@
+/** Counts how many submissions change their home when a data centre is added. */
+import {dataCentreOfSlot, HOME_SLOTS, slotOf} from './home.js';
+
+/** Fractions of the keys that moved, 0 to 1. */
+export interface KeyMovement {
+  readonly slots: number;
+  readonly modulo: number;
+}
+
+/** Compares fixed slots with a plain hash modulo, over `keys` numbered keys. */
+export function keyMovement(
+  before: readonly string[],
+  after: readonly string[],
+  keys: number,
+): KeyMovement {
+  let slots = 0;
+  let modulo = 0;
+  for (let index = 0; index < keys; index++) {
+    const slot = slotOf({team: 'team', idempotencyKey: `key-${index}`});
+    if (dataCentreOfSlot(slot, before) !== dataCentreOfSlot(slot, after)) {
+      slots++;
+    }
+    if (before[slot % before.length] !== after[slot % after.length]) modulo++;
+  }
+  return {slots: slots / keys, modulo: modulo / keys};
+}
+
+/** Fraction of the slots on each data centre, in the order of the list. */
+export function slotBalance(dataCentres: readonly string[]): readonly number[] {
+  const counts = new Map<string, number>();
+  for (let slot = 0; slot < HOME_SLOTS; slot++) {
+    const name = dataCentreOfSlot(slot, dataCentres);
+    counts.set(name, (counts.get(name) ?? 0) + 1);
+  }
+  return dataCentres.map(name => (counts.get(name) ?? 0) / HOME_SLOTS);
+}
