--- /dev/null
+++ b/packages/decisions/src/sharing/dominant_share.ts
@@ -0,0 +1,15 @@
+/**
+ * Dominant share of a resource vector (Ghodsi et al., Dominant Resource
+ * Fairness, 2011).
+ */
+import {RESOURCE_NAMES, type Resources} from '@mustardferry/model';
+
+/** Largest fraction of `capacity` that `need` takes; absent resources count 0. */
+export function dominantShare(need: Resources, capacity: Resources): number {
+  let share = 0;
+  for (const name of RESOURCE_NAMES) {
+    if (capacity[name] > 0)
+      share = Math.max(share, need[name] / capacity[name]);
+  }
+  return share;
+}
