--- /dev/null
+++ b/packages/decisions/src/routing/candidate_index.ts
@@ -0,0 +1,196 @@
+/**
+ * Upstreams that this instance may use, indexed so that a routing decision
+ * looks at a bounded number of them.
+ */
+import {
+  addResources,
+  type Resources,
+  subtractResources,
+} from '@mustardferry/model';
+
+import {CandidateGroup} from './candidate_group.js';
+
+/** Description of an upstream, from its announcement. */
+export interface CandidateUpstream {
+  /** `upstreamKey` of the announcement. */
+  readonly key: string;
+  readonly worker: string;
+  readonly rack: string;
+  readonly kinds: readonly string[];
+  readonly capacity: Resources;
+}
+
+/** A task that runs on an upstream. */
+interface RunningTask {
+  readonly resources: Resources;
+  readonly expectedEndAtMs: number;
+}
+
+/** An upstream with its state on this instance. */
+export class Candidate {
+  held = 0;
+  limit = Infinity;
+  available = true;
+  speedFactor = 1;
+  samples = 0;
+  /** Resources not taken by the tasks of this instance. */
+  free: Resources;
+  nextFreeAtMs = Infinity;
+  /** For the heap of busy upstreams. */
+  heapIndex = -1;
+  busyBucket = 0;
+  readonly tasks = new Map<string, RunningTask>();
+
+  constructor(readonly upstream: CandidateUpstream) {
+    this.free = upstream.capacity;
+  }
+
+  get running(): number {
+    return this.tasks.size;
+  }
+
+  /** Slot credits that a new task could use now. */
+  get freeCredits(): number {
+    if (!this.available) return 0;
+    return Math.max(0, Math.min(this.held, this.limit) - this.running);
+  }
+}
+
+/** All candidates; an upstream is in the group of those with equal kinds. */
+export class CandidateIndex {
+  private readonly candidates = new Map<string, Candidate>();
+  private readonly groups = new Map<string, CandidateGroup>();
+  private readonly byKind = new Map<string, CandidateGroup[]>();
+  private credits = 0;
+
+  get size(): number {
+    return this.candidates.size;
+  }
+
+  /** Free slot credits over all upstreams. */
+  get freeCredits(): number {
+    return this.credits;
+  }
+
+  get(key: string): Candidate | undefined {
+    return this.candidates.get(key);
+  }
+
+  all(): Iterable<Candidate> {
+    return this.candidates.values();
+  }
+
+  groupsOf(kind: string): readonly CandidateGroup[] {
+    return this.byKind.get(kind) ?? [];
+  }
+
+  /** Whether some upstream with a free credit offers the kind. */
+  hasFree(kind: string): boolean {
+    return this.groupsOf(kind).some(group => group.free.size > 0);
+  }
+
+  /** Distinct capacities of the upstreams that offer a kind. */
+  capacitiesOf(kind: string): readonly Resources[] {
+    return this.groupsOf(kind).flatMap(group => group.distinctCapacities());
+  }
+
+  /** Adds an upstream without credits; a known key is left as it is. */
+  add(upstream: CandidateUpstream): void {
+    if (this.candidates.has(upstream.key)) return;
+    const candidate = new Candidate(upstream);
+    this.candidates.set(upstream.key, candidate);
+    this.groupFor(upstream.kinds).add(candidate);
+  }
+
+  remove(key: string): void {
+    const candidate = this.candidates.get(key);
+    if (!candidate) return;
+    this.credits -= candidate.freeCredits;
+    this.groupFor(candidate.upstream.kinds).remove(candidate);
+    this.candidates.delete(key);
+  }
+
+  /** Sets the slot credits held for an upstream. */
+  setCredits(key: string, held: number): void {
+    this.change(key, candidate => (candidate.held = held));
+  }
+
+  /** Sets the limit of adaptive concurrency. */
+  setLimit(key: string, limit: number): void {
+    this.change(key, candidate => (candidate.limit = limit));
+  }
+
+  /** Takes an upstream out of use, for example while it is ejected. */
+  setAvailable(key: string, available: boolean): void {
+    this.change(key, candidate => (candidate.available = available));
+  }
+
+  /** Sets the learned time factor and the number of runs behind it. */
+  setSpeed(key: string, factor: number, samples: number): void {
+    this.change(key, candidate => {
+      candidate.speedFactor = factor;
+      candidate.samples = samples;
+    });
+  }
+
+  /** Records that a task was sent to an upstream. */
+  started(
+    key: string,
+    taskId: string,
+    resources: Resources,
+    expectedEndAtMs: number,
+  ): void {
+    this.change(key, candidate => {
+      if (candidate.tasks.has(taskId)) return;
+      candidate.tasks.set(taskId, {resources, expectedEndAtMs});
+      candidate.free = subtractResources(candidate.free, resources);
+      candidate.nextFreeAtMs = Math.min(
+        candidate.nextFreeAtMs,
+        expectedEndAtMs,
+      );
+    });
+  }
+
+  /** Records that a task no longer runs on an upstream. */
+  ended(key: string, taskId: string): void {
+    this.change(key, candidate => {
+      const task = candidate.tasks.get(taskId);
+      if (!task) return;
+      candidate.tasks.delete(taskId);
+      candidate.free =
+        candidate.tasks.size === 0
+          ? candidate.upstream.capacity
+          : addResources(candidate.free, task.resources);
+      candidate.nextFreeAtMs = Infinity;
+      for (const {expectedEndAtMs} of candidate.tasks.values()) {
+        if (expectedEndAtMs < candidate.nextFreeAtMs) {
+          candidate.nextFreeAtMs = expectedEndAtMs;
+        }
+      }
+    });
+  }
+
+  private change(key: string, apply: (candidate: Candidate) => void): void {
+    const candidate = this.candidates.get(key);
+    if (!candidate) return;
+    const before = candidate.freeCredits;
+    apply(candidate);
+    this.credits += candidate.freeCredits - before;
+    this.groupFor(candidate.upstream.kinds).place(candidate);
+  }
+
+  private groupFor(kinds: readonly string[]): CandidateGroup {
+    const id = JSON.stringify(kinds.length > 1 ? [...kinds].sort() : kinds);
+    let group = this.groups.get(id);
+    if (!group) {
+      group = new CandidateGroup();
+      this.groups.set(id, group);
+      for (const kind of new Set(kinds)) {
+        const list = this.byKind.get(kind);
+        if (list) list.push(group);
+        else this.byKind.set(kind, [group]);
+      }
+    }
+    return group;
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/routing/run_time_estimator.ts
@@ -0,0 +1,169 @@
+/**
+ * Learned run times of kinds on upstreams. Works on logarithms: the run time
+ * of a kind on an upstream is the kind's location plus the upstream's speed
+ * offset plus an offset of the pair. All are exponentially weighted means of
+ * residuals that are clipped as in Huber's M-estimator (Huber, 1964), so one
+ * outlier moves an estimate by a bounded amount.
+ */
+import {LruMap} from '../common/lru_map.js';
+import {RunDistribution, type RunQuantile} from './run_distribution.js';
+
+/** Options of the estimator. */
+export interface RunTimeEstimatorOptions {
+  /** Most kinds remembered. Default 1,024. */
+  readonly maxKinds?: number;
+  /** Most upstreams remembered. Default 16,384. */
+  readonly maxUpstreams?: number;
+  /** Most pairs of kind and upstream remembered. Default 65,536. */
+  readonly maxPairs?: number;
+  /** Half-life of the weight of a report by its age. Default 10,000 ms. */
+  readonly ageHalfLifeMs?: number;
+}
+
+/** A measured run of one task. */
+export interface RunObservation {
+  readonly team: string;
+  readonly kind: string;
+  readonly upstream: string;
+  readonly runMs: number;
+  /** When the run ended; old reports weigh less. */
+  readonly endedAtMs: number;
+}
+
+/** What an estimate is asked for. */
+export interface RunQuestion {
+  readonly team: string;
+  readonly kind: string;
+  readonly upstream: string;
+  /** Declared run time, used until a run of the kind was measured. */
+  readonly declaredMs: number;
+}
+
+/** Where an estimate came from, from the most to the least specific. */
+export type EstimateSource = 'pair' | 'kind-and-speed' | 'declared';
+
+/** Estimated run time in milliseconds. */
+export interface RunEstimate {
+  readonly p50Ms: number;
+  readonly p95Ms: number;
+  readonly samples: number;
+  readonly source: EstimateSource;
+}
+
+interface Offset {
+  value: number;
+  weight: number;
+}
+
+const DEFAULT_AGE_HALF_LIFE_MS = 10_000;
+/** Reports with less weight than this, about 7 half-lives old, are dropped. */
+const MIN_REPORT_WEIGHT = 0.01;
+/** Residuals beyond this many scales are clipped. */
+const CLIP_SCALES = 2.5;
+/** Smallest learning rates: a speed change shows after about 1 / rate runs. */
+const KIND_RATE = 0.02;
+const UPSTREAM_RATE = 0.05;
+const PAIR_RATE = 0.1;
+/** Runs of a pair at which its own offset counts half. */
+const PAIR_TRUST = 8;
+/** Runs that a new upstream is assumed to have at average speed. */
+const SPEED_PRIOR = 1;
+const MIN_RUN_MS = 0.05;
+
+function learn(offset: Offset, step: number, rate: number, w: number): void {
+  offset.weight += w;
+  const gain = Math.min(1, w * Math.max(rate, 1 / (offset.weight + 1)));
+  offset.value += gain * step;
+}
+
+/** Estimator with bounded memory; the least recently used entries go first. */
+export class RunTimeEstimator {
+  private readonly kinds: LruMap<RunDistribution>;
+  private readonly upstreams: LruMap<Offset>;
+  private readonly pairs: LruMap<Offset>;
+  private readonly ageHalfLifeMs: number;
+
+  constructor(options: RunTimeEstimatorOptions = {}) {
+    this.kinds = new LruMap(options.maxKinds ?? 1_024);
+    this.upstreams = new LruMap(options.maxUpstreams ?? 16_384);
+    this.pairs = new LruMap(options.maxPairs ?? 65_536);
+    this.ageHalfLifeMs = options.ageHalfLifeMs ?? DEFAULT_AGE_HALF_LIFE_MS;
+  }
+
+  /** Learns from a run that ended with a result; failures are not reported. */
+  observe(run: RunObservation, now: number): void {
+    const ageMs = Math.max(0, now - run.endedAtMs);
+    const weight = 2 ** (-ageMs / this.ageHalfLifeMs);
+    if (!(run.runMs >= 0) || weight < MIN_REPORT_WEIGHT) return;
+    const x = Math.log(Math.max(MIN_RUN_MS, run.runMs));
+    const kindKey = `${run.team}/${run.kind}`;
+    const kind = this.kinds.ensure(kindKey, () => new RunDistribution(x));
+    const speed = this.upstreams.ensure(run.upstream, newOffset);
+    const pair = this.pairs.ensure(`${kindKey}@${run.upstream}`, newOffset);
+    const clip = CLIP_SCALES * kind.scale;
+    const bounded = (r: number) => Math.max(-clip, Math.min(clip, r));
+    const residual = x - kind.location - speed.value;
+    const trust = pair.weight / (pair.weight + PAIR_TRUST);
+    kind.observe(residual - trust * pair.value, weight);
+    learn(kind, bounded(residual), KIND_RATE, weight);
+    if (kind.weight > 1) {
+      const step = bounded(residual) - (SPEED_PRIOR * speed.value) / 64;
+      learn(speed, step, UPSTREAM_RATE, weight);
+    }
+    const rest = x - kind.location - speed.value;
+    learn(pair, bounded(rest) - pair.value, PAIR_RATE, weight);
+  }
+
+  /** Estimates a run; hierarchical from pair to kind to the declaration. */
+  estimate(question: RunQuestion): RunEstimate {
+    const {declaredMs, upstream} = question;
+    const speed = this.upstreams.get(upstream)?.value ?? 0;
+    const kindKey = `${question.team}/${question.kind}`;
+    const kind = this.kinds.get(kindKey);
+    if (!kind) {
+      const p50Ms = declaredMs * Math.exp(speed);
+      return {p50Ms, p95Ms: 3 * p50Ms, samples: 0, source: 'declared'};
+    }
+    const pair = this.pairs.get(`${kindKey}@${upstream}`);
+    const samples = pair?.weight ?? 0;
+    const own = pair ? (pair.value * samples) / (samples + PAIR_TRUST) : 0;
+    const centre = kind.location + speed + own;
+    return {
+      p50Ms: Math.exp(centre + kind.quantile('p50')),
+      p95Ms: Math.exp(centre + kind.quantile('p95')),
+      samples,
+      source: samples >= PAIR_TRUST ? 'pair' : 'kind-and-speed',
+    };
+  }
+
+  /** Run time at a quantile in milliseconds. */
+  quantileMs(question: RunQuestion, quantile: RunQuantile): number {
+    const estimate = this.estimate(question);
+    return quantile === 'p50' ? estimate.p50Ms : estimate.p95Ms;
+  }
+
+  /** Standard deviation of the logarithm of a kind's run times. */
+  spread(team: string, kind: string): number {
+    return this.kinds.get(`${team}/${kind}`)?.scale ?? 1;
+  }
+
+  /** Time factor of an upstream; 1 is average, 2 takes twice as long. */
+  speedFactor(upstream: string): number {
+    return Math.exp(this.upstreams.get(upstream)?.value ?? 0);
+  }
+
+  /** Runs measured on an upstream, weighted by the age of their reports. */
+  upstreamSamples(upstream: string): number {
+    return this.upstreams.get(upstream)?.weight ?? 0;
+  }
+
+  /** Typical run time of a kind on an average upstream, if it was measured. */
+  kindMs(team: string, kind: string): number | undefined {
+    const found = this.kinds.get(`${team}/${kind}`);
+    return found && Math.exp(found.location + found.quantile('p50'));
+  }
+}
+
+function newOffset(): Offset {
+  return {value: 0, weight: 0};
+}
