--- /dev/null
+++ b/packages/decisions/src/health/outlier_ejection.ts
@@ -0,0 +1,252 @@
+/** Takes upstreams out of use that fail far more often than their peers. */
+import type {ReasonCode} from '../explain/reasons.js';
+import {FaultyTasks} from './faulty_tasks.js';
+import {
+  FadingCounts,
+  type HealthState,
+  UpstreamHealth,
+} from './upstream_health.js';
+
+/** Options of the ejection. */
+export interface OutlierEjectionOptions {
+  /** Failures in a row that eject. Default 5. */
+  readonly consecutiveFailures?: number;
+  /** Results before a ratio is judged. Default 10. */
+  readonly minResults?: number;
+  /** Failure ratio above that of the peers that ejects. Default 0.3. */
+  readonly excessRatio?: number;
+  /** Largest part of the upstreams ejected at once. Default 0.3. */
+  readonly maxEjectedFraction?: number;
+  /** Time to the first probe and its bound. Defaults 500 and 30,000 ms. */
+  readonly firstProbeMs?: number;
+  readonly maxProbeMs?: number;
+}
+
+/** Result of one attempt. Refusals and cancellations are not reported. */
+export interface UpstreamResult {
+  readonly upstream: string;
+  readonly taskId: string;
+  readonly ok: boolean;
+  readonly runMs: number;
+  readonly expectedMs: number;
+}
+
+/** A change of state. */
+export interface HealthChange {
+  readonly upstream: string;
+  readonly state: HealthState;
+  readonly reason: ReasonCode;
+}
+
+/** Whether and how far an upstream may be used. */
+export interface HealthVerdict {
+  readonly state: HealthState;
+  /** Tasks that may run at once; 0 for none, Infinity for no limit. */
+  readonly allowance: number;
+  /** Epoch milliseconds of the next probe while ejected. */
+  readonly probeAtMs: number;
+  readonly reason: ReasonCode;
+}
+
+/**
+ * A failure in less than this part of the expected time counts twice: an
+ * upstream that fails fast is always free and draws in all the work.
+ */
+const FAST_FAILURE_PART = 0.2;
+const FAST_FAILURE_WEIGHT = 2;
+/** Allowance at which an upstream that returns is fully back. */
+const RETURNED_ALLOWANCE = 8;
+
+/** Health of all upstreams as one instance sees it; O(1) per result. */
+export class OutlierEjection {
+  private readonly upstreams = new Map<string, UpstreamHealth>();
+  private readonly all = new FadingCounts();
+  private readonly tasks = new FaultyTasks();
+  private readonly options: Required<OutlierEjectionOptions>;
+  private ejected = 0;
+
+  constructor(options: OutlierEjectionOptions = {}) {
+    this.options = {
+      consecutiveFailures: 5,
+      minResults: 10,
+      excessRatio: 0.3,
+      maxEjectedFraction: 0.3,
+      firstProbeMs: 500,
+      maxProbeMs: 30_000,
+      ...options,
+    };
+  }
+
+  get ejectedCount(): number {
+    return this.ejected;
+  }
+
+  add(upstream: string): void {
+    if (this.upstreams.has(upstream)) return;
+    this.upstreams.set(upstream, new UpstreamHealth());
+  }
+
+  remove(upstream: string): void {
+    if (this.upstreams.get(upstream)?.state === 'ejected') this.ejected--;
+    this.upstreams.delete(upstream);
+  }
+
+  isFaultyTask(taskId: string): boolean {
+    return this.tasks.isFaulty(taskId);
+  }
+
+  /** Notes a result and returns the changes of state that follow. */
+  record(result: UpstreamResult, now: number): readonly HealthChange[] {
+    const health = this.upstreams.get(result.upstream);
+    if (!health) return [];
+    if (!result.ok) return this.failed(result, health, now);
+    this.tasks.forget(result.taskId);
+    this.count(health, 1, 0, now);
+    health.consecutiveFailures = 0;
+    return this.succeeded(result.upstream, health);
+  }
+
+  verdict(upstream: string, now: number): HealthVerdict {
+    const health = this.upstreams.get(upstream);
+    if (!health || health.state === 'available') {
+      const reason = 'upstream-healthy';
+      return {state: 'available', allowance: Infinity, probeAtMs: 0, reason};
+    }
+    const {state, allowance, probeAtMs} = health;
+    if (state === 'returning') {
+      return {state, allowance, probeAtMs: 0, reason: 'gradual-return'};
+    }
+    const isDue = now >= probeAtMs && !health.probing;
+    const reason = isDue ? 'probe-due' : 'probe-waiting';
+    return {state, allowance: isDue ? 1 : 0, probeAtMs, reason};
+  }
+
+  /** Notes that a task was sent to an ejected upstream as its probe. */
+  probeStarted(upstream: string): void {
+    const health = this.upstreams.get(upstream);
+    if (health?.state === 'ejected') health.probing = true;
+  }
+
+  /** Notes that a probe ended without a result, for example cancelled. */
+  probeAbandoned(upstream: string): void {
+    const health = this.upstreams.get(upstream);
+    if (health) health.probing = false;
+  }
+
+  private count(
+    health: UpstreamHealth,
+    successes: number,
+    failures: number,
+    now: number,
+  ): void {
+    health.counts.add(successes, failures, now);
+    this.all.add(successes, failures, now);
+  }
+
+  private failed(
+    result: UpstreamResult,
+    health: UpstreamHealth,
+    now: number,
+  ): readonly HealthChange[] {
+    const blamed = this.tasks.failed(result.taskId, result.upstream);
+    if (blamed === 'faulty') {
+      health.probing = false;
+      return [];
+    }
+    if (blamed) {
+      health.probing = false;
+      return blamed.flatMap(key => this.clear(key, now));
+    }
+    const isFast = result.runMs < FAST_FAILURE_PART * result.expectedMs;
+    this.count(health, 0, isFast ? FAST_FAILURE_WEIGHT : 1, now);
+    health.consecutiveFailures++;
+    if (health.state === 'ejected') return this.probeFailed(health, now);
+    const reason = this.ejectionReason(health, now);
+    return reason ? this.eject(result.upstream, health, reason, now) : [];
+  }
+
+  private ejectionReason(
+    health: UpstreamHealth,
+    now: number,
+  ): ReasonCode | undefined {
+    if (health.state === 'returning') return 'consecutive-failures';
+    const own = health.counts.read(now);
+    const all = this.all.read(now);
+    const peers = Math.max(1, all.total - own.total);
+    const peerRatio = Math.max(0, all.failures - own.failures) / peers;
+    const excess = own.failures / Math.max(1, own.total) - peerRatio;
+    // When the peers fail as often, the cause is not this upstream.
+    if (excess < this.options.excessRatio) return undefined;
+    if (health.consecutiveFailures >= this.options.consecutiveFailures) {
+      return 'consecutive-failures';
+    }
+    return own.total >= this.options.minResults ? 'failure-ratio' : undefined;
+  }
+
+  private get maxEjected(): number {
+    const total = this.upstreams.size;
+    const cap = Math.floor(total * this.options.maxEjectedFraction);
+    // The last upstream is never ejected: it may still answer.
+    return Math.min(total - 1, Math.max(1, cap));
+  }
+
+  private eject(
+    upstream: string,
+    health: UpstreamHealth,
+    reason: ReasonCode,
+    now: number,
+  ): readonly HealthChange[] {
+    if (this.ejected >= this.maxEjected) {
+      return [{upstream, state: health.state, reason: 'ejection-cap'}];
+    }
+    const first = health.probeIntervalMs || this.options.firstProbeMs;
+    health.state = 'ejected';
+    health.probeIntervalMs = first;
+    health.probeAtMs = now + first;
+    health.probing = false;
+    this.ejected++;
+    return [{upstream, state: 'ejected', reason}];
+  }
+
+  private probeFailed(health: UpstreamHealth, now: number): [] {
+    if (!health.probing) return [];
+    health.probing = false;
+    const next = Math.min(this.options.maxProbeMs, health.probeIntervalMs * 2);
+    health.probeIntervalMs = next;
+    health.probeAtMs = now + next;
+    return [];
+  }
+
+  private succeeded(
+    upstream: string,
+    health: UpstreamHealth,
+  ): readonly HealthChange[] {
+    if (health.state === 'available') return [];
+    const reason = 'gradual-return';
+    if (health.state === 'ejected') {
+      // Answers to tasks sent before the ejection are not probes.
+      if (!health.probing) return [];
+      this.ejected--;
+      health.probing = false;
+      health.state = 'returning';
+      health.allowance = 1;
+      health.counts.clear();
+      return [{upstream, state: 'returning', reason}];
+    }
+    health.allowance *= 2;
+    if (health.allowance >= RETURNED_ALLOWANCE) {
+      health.state = 'available';
+      health.probeIntervalMs = 0;
+    }
+    return [{upstream, state: health.state, reason}];
+  }
+
+  /** Takes back the blame for one failure of a faulty task. */
+  private clear(upstream: string, now: number): readonly HealthChange[] {
+    const health = this.upstreams.get(upstream);
+    if (!health) return [];
+    this.count(health, 0, -1, now);
+    health.consecutiveFailures = Math.max(0, health.consecutiveFailures - 1);
+    return [];
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/health/upstream_health.ts
@@ -0,0 +1,50 @@
+/** Recent results and ejection state of one upstream. */
+
+/** Half-life of a result in the failure ratio. */
+export const RESULT_HALF_LIFE_MS = 10_000;
+
+/** State of an upstream. */
+export type HealthState = 'available' | 'ejected' | 'returning';
+
+/** Counts that fade with their age. */
+export class FadingCounts {
+  private successes = 0;
+  private failures = 0;
+  private updatedAtMs = 0;
+
+  add(successes: number, failures: number, now: number): void {
+    this.fade(now);
+    this.successes = Math.max(0, this.successes + successes);
+    this.failures = Math.max(0, this.failures + failures);
+  }
+
+  read(now: number): {readonly total: number; readonly failures: number} {
+    this.fade(now);
+    return {total: this.successes + this.failures, failures: this.failures};
+  }
+
+  clear(): void {
+    this.successes = 0;
+    this.failures = 0;
+  }
+
+  private fade(now: number): void {
+    if (now <= this.updatedAtMs) return;
+    const factor = 2 ** (-(now - this.updatedAtMs) / RESULT_HALF_LIFE_MS);
+    this.successes *= factor;
+    this.failures *= factor;
+    this.updatedAtMs = now;
+  }
+}
+
+/** Mutable health of one upstream. */
+export class UpstreamHealth {
+  state: HealthState = 'available';
+  readonly counts = new FadingCounts();
+  consecutiveFailures = 0;
+  probeAtMs = 0;
+  probeIntervalMs = 0;
+  probing = false;
+  /** Tasks allowed at once while the upstream returns. */
+  allowance = 0;
+}
