--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,1 +1,125 @@
-export {};
+export {randomFraction, randomIndex} from './common/random.js';
+export {formatExplanation} from './explain/format_explanation.js';
+export {answerRef, type ReasonCode, REASONS} from './explain/reasons.js';
+export {
+  type HealthChange,
+  type HealthVerdict,
+  OutlierEjection,
+  type OutlierEjectionOptions,
+  type UpstreamResult,
+} from './health/outlier_ejection.js';
+export {
+  type OverdueDecision,
+  OverdueDetection,
+  type OverdueOptions,
+  type PendingAnswer,
+} from './health/overdue_detection.js';
+export {type HealthState} from './health/upstream_health.js';
+export {
+  dataCentreOfSlot,
+  HOME_SLOTS,
+  homeOf,
+  HomingError,
+  mintIdempotencyKey,
+  type ParsedJobId,
+  parseJobId,
+  slotOf,
+} from './homing/home.js';
+export {
+  type KeyMovement,
+  keyMovement,
+  slotBalance,
+} from './homing/key_movement.js';
+export {
+  AdaptiveConcurrency,
+  type ConcurrencySample,
+} from './limits/adaptive_concurrency.js';
+export {
+  type AdmissionDecision,
+  type AdmissionInput,
+  decideAdmission,
+} from './limits/admission.js';
+export {
+  neverRunnable,
+  type Runnability,
+  type RunnableQuestion,
+} from './limits/never_runnable.js';
+export {backOffMs, type BackOffOptions} from './retries/back_off.js';
+export {
+  type AttemptFailure,
+  decideRetry,
+  type FailedAttempt,
+  FAULTY_TASK_UPSTREAMS,
+  type RetryDecision,
+} from './retries/decide_retry.js';
+export {
+  ExpectedGainHedging,
+  type HedgeDecision,
+  type HedgeQuestion,
+  HedgingPolicy,
+  NoHedging,
+} from './retries/hedging.js';
+export {
+  type BudgetAnswer,
+  RetryBudget,
+  type RetryBudgetOptions,
+} from './retries/retry_budget.js';
+export {
+  LeastOutstandingRouting,
+  RandomRouting,
+  TwoChoicesRouting,
+} from './routing/baseline_routing.js';
+export {
+  type Candidate,
+  CandidateIndex,
+  type CandidateUpstream,
+} from './routing/candidate_index.js';
+export {
+  ExpectedEndRouting,
+  type ExpectedEndRoutingOptions,
+} from './routing/expected_end_routing.js';
+export {expectedRemainingMs} from './routing/expected_remaining.js';
+export {
+  type RoutableTask,
+  type RoutingDecision,
+  RoutingPolicy,
+} from './routing/routing_policy.js';
+export {
+  type EstimateSource,
+  type RunEstimate,
+  type RunObservation,
+  type RunQuestion,
+  RunTimeEstimator,
+  type RunTimeEstimatorOptions,
+} from './routing/run_time_estimator.js';
+export {FirstInFirstOutSharing} from './sharing/first_in_first_out_sharing.js';
+export {
+  type Backlog,
+  type Entitlement,
+  type QueuedTask,
+  type SharingDecision,
+  SharingPolicy,
+  type TaskFilter,
+  type TeamUsage,
+} from './sharing/sharing_policy.js';
+export {
+  CREDIT_HALF_LIFE_MS,
+  MAX_CREDIT_MS,
+  WeightedFairSharing,
+} from './sharing/weighted_fair_sharing.js';
+export {allocateSlots, SlotAllocator} from './slots/allocate_slots.js';
+export {
+  CreditLedger,
+  type Credits,
+  type ReturnedCredits,
+} from './slots/credit_ledger.js';
+export {
+  type AllocatorTeam,
+  type AllocatorWorker,
+  type HeldCredits,
+  type InstanceAllocation,
+  type InstanceDemand,
+  type SlotAllocation,
+  type SlotAllocationInput,
+  type SlotGrant,
+} from './slots/slot_types.js';
