Add the replicated log: pure core and driver

While a voter replacement is uncommitted, elections and commits need a majority of the old and of the new voter set: the two incarnations of a name count separately, so majorities of the two sets need not overlap, and a delayed vote of the old incarnation could elect a leader without the committed entries.

Read barriers always use a quorum round instead of the lease, because a peer-lost event lets followers elect a leader before the lease ends.

--- /dev/null
+++ b/packages/coordination/src/replicated_log/core_state.ts
@@ -0,0 +1,297 @@
+/** State, events and effects of the log's pure core, and its small queries. */
+import type {LogEntry, LogSnapshot} from './log_entries.js';
+import type {LogMessage} from './log_messages.js';
+import {type MemberId, memberKey, sameMember} from './members.js';
+
+/** Options of the core. */
+export interface LogCoreConfig {
+  /** Sync votes and entries before they are acknowledged. */
+  readonly syncEverything: boolean;
+  /** Whether this member has a disk. */
+  readonly hasDisk: boolean;
+  readonly heartbeatMs: number;
+  /** Shortest election timeout; the longest is twice as long. */
+  readonly electionTimeoutMs: number;
+  readonly maxEntriesPerMessage: number;
+}
+
+/** What the leader knows about one other member. */
+export interface Progress {
+  readonly member: MemberId;
+  readonly match: number;
+  readonly next: number;
+  readonly synced: number;
+  readonly disk: boolean;
+  readonly ackedRound: number;
+  /** Send time of the newest round that the member answered. */
+  readonly ackedAt: number;
+  /** When the last snapshot was sent, to not repeat it at each heartbeat. */
+  readonly snapshotSentAt: number;
+}
+
+/** Voters in force; `previous` is set while a replacement is uncommitted. */
+export interface VoterConfig {
+  readonly voters: readonly MemberId[];
+  readonly previous: readonly MemberId[] | null;
+  readonly changeIndex: number;
+  /** Keys of incarnations that committed replacements removed. */
+  readonly removed: readonly string[];
+}
+
+/** A linearizable read that waits for a quorum to confirm the leader. */
+export interface PendingRead {
+  readonly id: number;
+  readonly round: number;
+}
+
+/** Role in the current term; a learner is a follower outside the voters. */
+export type LogRole = 'follower' | 'pre-candidate' | 'candidate' | 'leader';
+
+/** Immutable state of one member. Times are milliseconds of the caller's clock. */
+export interface LogCoreState<C> {
+  readonly self: MemberId;
+  readonly role: LogRole;
+  readonly term: number;
+  readonly votedFor: string | null;
+  readonly leader: MemberId | null;
+  readonly snapshot: LogSnapshot;
+  /** Entries after the snapshot, without gaps. */
+  readonly entries: readonly LogEntry<C>[];
+  readonly config: VoterConfig;
+  readonly commitIndex: number;
+  readonly syncedIndex: number;
+  /** Highest index known to equal the log of the current term's leader. */
+  readonly matchedIndex: number;
+  readonly diskFailed: boolean;
+  readonly electionDeadline: number;
+  readonly heartbeatDue: number;
+  /** Last contact with the leader. */
+  readonly heardAt: number;
+  readonly leaderSince: number;
+  /**
+   * Set for the rest of the term by a leadership transfer: a delayed
+   * `timeout-now` may start an election that bypasses the lease.
+   */
+  readonly leaseVoid: boolean;
+  /** Round of the last message accepted from the leader, for late replies. */
+  readonly heardRound: number;
+  readonly votes: readonly string[];
+  readonly progress: Readonly<Record<string, Progress>>;
+  readonly round: number;
+  readonly roundTimes: readonly {readonly round: number; readonly at: number}[];
+  readonly reads: readonly PendingRead[];
+  /** Latest registered incarnation of each name, as told by the caller. */
+  readonly registered: Readonly<Record<string, string>>;
+  readonly transfer: {
+    readonly to: MemberId;
+    readonly deadline: number;
+  } | null;
+}
+
+/** Inputs of the core. `now` in milliseconds, `random` in [0, 1). */
+export type LogEvent<C> = {
+  readonly now: number;
+  readonly random: number;
+} & (
+  | {readonly type: 'tick'}
+  | {
+      readonly type: 'receive';
+      readonly from: MemberId;
+      readonly message: LogMessage<C>;
+    }
+  | {
+      readonly type: 'propose';
+      readonly commands: readonly C[];
+      readonly durable: boolean;
+    }
+  | {readonly type: 'synced'; readonly index: number; readonly term: number}
+  | {readonly type: 'storage-failed'}
+  | {readonly type: 'read'; readonly id: number}
+  | {readonly type: 'registered'; readonly member: MemberId}
+  | {readonly type: 'peer-lost'; readonly name: string}
+  | {readonly type: 'transfer'; readonly to: MemberId}
+  | {
+      readonly type: 'snapshot-taken';
+      readonly index: number;
+      readonly data: Uint8Array;
+    }
+);
+
+/** Outputs of the core; storage effects must be carried out in order. */
+export type LogEffect<C> =
+  | {
+      readonly type: 'send';
+      readonly to: MemberId;
+      readonly message: LogMessage<C>;
+      /** Hold the message until the preceding `save-vote` is synced. */
+      readonly afterVoteSync: boolean;
+    }
+  | {
+      readonly type: 'save-vote';
+      readonly term: number;
+      readonly votedFor: string | null;
+    }
+  | {readonly type: 'append'; readonly entries: readonly LogEntry<C>[]}
+  | {readonly type: 'truncate'; readonly fromIndex: number}
+  | {
+      readonly type: 'save-snapshot';
+      readonly snapshot: LogSnapshot;
+      readonly keepSuffix: boolean;
+    }
+  | {readonly type: 'read-ready'; readonly id: number}
+  | {readonly type: 'read-refused'; readonly id: number};
+
+/** Result of one step. */
+export interface LogStep<C> {
+  readonly state: LogCoreState<C>;
+  readonly effects: readonly LogEffect<C>[];
+}
+
+/** What a member starts from: its initial voters or its recovered storage. */
+export interface CoreStart<C> {
+  readonly self: MemberId;
+  readonly voters: readonly MemberId[];
+  readonly term: number;
+  readonly votedFor: string | null;
+  readonly snapshot: LogSnapshot | null;
+  readonly entries: readonly LogEntry<C>[];
+  readonly now: number;
+  readonly random: number;
+}
+
+/** Creates the state of a member that starts. */
+export function initialState<C>(
+  start: CoreStart<C>,
+  cfg: LogCoreConfig,
+): LogCoreState<C> {
+  const snapshot = start.snapshot ?? {
+    index: 0,
+    term: 0,
+    voters: start.voters,
+    data: new Uint8Array(),
+  };
+  const last = start.entries.at(-1)?.index ?? snapshot.index;
+  const state: LogCoreState<C> = {
+    ...EMPTY_STATE,
+    self: start.self,
+    term: Math.max(start.term, start.entries.at(-1)?.term ?? snapshot.term),
+    votedFor: start.votedFor,
+    snapshot,
+    entries: start.entries,
+    config: {
+      voters: snapshot.voters,
+      previous: null,
+      changeIndex: 0,
+      removed: [],
+    },
+    commitIndex: snapshot.index,
+    syncedIndex: cfg.hasDisk ? last : snapshot.index,
+    matchedIndex: snapshot.index,
+    electionDeadline: electionDeadline(start, cfg),
+  };
+  const recovered = {...state, config: configOf(state)};
+  // A learner asks to join at its first tick.
+  return isVoter(recovered)
+    ? recovered
+    : {...recovered, electionDeadline: start.now};
+}
+
+const EMPTY_STATE = {
+  role: 'follower',
+  leader: null,
+  diskFailed: false,
+  heartbeatDue: 0,
+  heardAt: Number.NEGATIVE_INFINITY,
+  leaderSince: 0,
+  leaseVoid: false,
+  heardRound: 0,
+  votes: [],
+  progress: {},
+  round: 0,
+  roundTimes: [],
+  reads: [],
+  registered: {},
+  transfer: null,
+} as const;
+
+/** Randomized so that members rarely start elections at the same time. */
+export function electionDeadline(
+  event: {readonly now: number; readonly random: number},
+  cfg: LogCoreConfig,
+): number {
+  return event.now + cfg.electionTimeoutMs * (1 + event.random);
+}
+
+/** Index of the last entry. */
+export function lastIndex<C>(state: LogCoreState<C>): number {
+  return state.snapshot.index + state.entries.length;
+}
+
+/** Entry at an index after the snapshot, or undefined. */
+export function entryAt<C>(
+  state: LogCoreState<C>,
+  index: number,
+): LogEntry<C> | undefined {
+  return state.entries[index - state.snapshot.index - 1];
+}
+
+/** Term of the entry at an index; -1 when it is not known. */
+export function termAt<C>(state: LogCoreState<C>, index: number): number {
+  if (index === state.snapshot.index) return state.snapshot.term;
+  return entryAt(state, index)?.term ?? -1;
+}
+
+/** Derives the voter sets from the snapshot and the entries. */
+export function configOf<C>(state: LogCoreState<C>): VoterConfig {
+  let voters = state.snapshot.voters;
+  let previous: readonly MemberId[] | null = null;
+  let changeIndex = 0;
+  const removed: string[] = [];
+  for (const {index, replacement} of state.entries) {
+    if (!replacement) continue;
+    previous = index > state.commitIndex ? voters : null;
+    changeIndex = index;
+    if (previous === null) removed.push(memberKey(replacement.remove));
+    voters = voters.map(voter =>
+      sameMember(voter, replacement.remove) ? replacement.add : voter,
+    );
+  }
+  return {voters, previous, changeIndex, removed};
+}
+
+/** Whether this member is a voter in the newest voter set that it knows. */
+export function isVoter<C>(state: LogCoreState<C>): boolean {
+  return state.config.voters.some(voter => sameMember(voter, state.self));
+}
+
+/**
+ * Whether the accepted members hold a majority. While a replacement is
+ * uncommitted both voter sets must agree: majorities of the old and the new
+ * set need not overlap, because the two incarnations count separately.
+ */
+export function hasQuorum(
+  config: VoterConfig,
+  accepts: (member: MemberId) => boolean,
+): boolean {
+  const sets = config.previous
+    ? [config.voters, config.previous]
+    : [config.voters];
+  return sets.every(
+    voters => voters.filter(accepts).length * 2 > voters.length,
+  );
+}
+
+/** Other voters of the sets in force. */
+export function otherVoters<C>(state: LogCoreState<C>): readonly MemberId[] {
+  const all = [...state.config.voters, ...(state.config.previous ?? [])];
+  const byKey = new Map(all.map(member => [memberKey(member), member]));
+  byKey.delete(memberKey(state.self));
+  return [...byKey.values()];
+}
+
+/** Whether a leader has committed an entry of its own term. */
+export function committedInTerm<C>(state: LogCoreState<C>): boolean {
+  return (
+    state.role === 'leader' && termAt(state, state.commitIndex) === state.term
+  );
+}
--- /dev/null
+++ b/packages/coordination/src/replicated_log/log_entries.ts
@@ -0,0 +1,27 @@
+/** Entries and snapshots of a replicated log. */
+import type {MemberId} from './members.js';
+
+/** Replacement of one incarnation of a voter by another of the same name. */
+export interface VoterReplacement {
+  readonly remove: MemberId;
+  readonly add: MemberId;
+}
+
+/** One entry; carries a batch of commands, none for a leader's first entry. */
+export interface LogEntry<C> {
+  readonly index: number;
+  readonly term: number;
+  readonly commands: readonly C[];
+  /** Whether a command of the batch waits for a synced copy. */
+  readonly durable: boolean;
+  /** Present only in entries that change the voter set. */
+  readonly replacement?: VoterReplacement;
+}
+
+/** State of the machine after the entry at `index`, and the voters there. */
+export interface LogSnapshot {
+  readonly index: number;
+  readonly term: number;
+  readonly voters: readonly MemberId[];
+  readonly data: Uint8Array;
+}
--- /dev/null
+++ b/packages/coordination/src/replicated_log/log_options.ts
@@ -0,0 +1,89 @@
+/** Options and status of a replicated log. */
+import type {LogCoreConfig} from './core_state.js';
+import type {LogStorage} from './log_storage.js';
+import type {LogTransport} from './log_transport.js';
+import type {MemberId} from './members.js';
+import type {StateMachine} from './state_machine.js';
+
+/** Options of a replicated log. Durations are in milliseconds. */
+export interface ReplicatedLogOptions<C, R> {
+  readonly self: MemberId;
+  /** Voters at the start of the log; the stored log overrides them. */
+  readonly voters: readonly MemberId[];
+  /**
+   * `sync-everything`: votes and entries are synced before they are
+   * acknowledged, and the incarnation survives restarts. `in-memory`: only
+   * durable entries wait for a synced copy, and each start needs a new
+   * incarnation.
+   */
+  readonly mode: 'sync-everything' | 'in-memory';
+  /** Null for a member without a disk, which `in-memory` allows. */
+  readonly storage: LogStorage<C> | null;
+  readonly transport: LogTransport<C>;
+  readonly machine: StateMachine<C, R>;
+  /** Interval of heartbeats; 100 by default. */
+  readonly heartbeatMs?: number;
+  /** Shortest election timeout, the longest is twice that; 400 by default. */
+  readonly electionTimeoutMs?: number;
+  /** Entries in one message; 64 by default. */
+  readonly maxEntriesPerMessage?: number;
+  /** Commands in one entry; 1,000 by default. */
+  readonly maxBatch?: number;
+  /** Entries between snapshots; 1,000 by default. */
+  readonly snapshotEveryEntries?: number;
+  /** Name of the member that should lead when it can; none by default. */
+  readonly preferredLeader?: string;
+  /** Random numbers in [0, 1); `Math.random` by default. */
+  readonly random?: () => number;
+  /** Told when storage or the state machine fails. */
+  readonly onFailure?: (err: Error) => void;
+}
+
+/** Options with the defaults filled in. */
+export interface LogSettings extends LogCoreConfig {
+  readonly maxBatch: number;
+  readonly snapshotEveryEntries: number;
+}
+
+/** Fills in the defaults. */
+export function logSettings<C, R>(
+  options: ReplicatedLogOptions<C, R>,
+): LogSettings {
+  return {
+    syncEverything: options.mode === 'sync-everything',
+    hasDisk: options.storage !== null,
+    heartbeatMs: options.heartbeatMs ?? 100,
+    electionTimeoutMs: options.electionTimeoutMs ?? 400,
+    maxEntriesPerMessage: options.maxEntriesPerMessage ?? 64,
+    maxBatch: options.maxBatch ?? 1000,
+    snapshotEveryEntries: options.snapshotEveryEntries ?? 1000,
+  };
+}
+
+/** What a member knows about the log. */
+export interface LogStatus {
+  readonly role: 'leader' | 'candidate' | 'follower' | 'learner';
+  readonly term: number;
+  readonly leader: MemberId | null;
+  readonly commitIndex: number;
+  readonly appliedIndex: number;
+  readonly lastIndex: number;
+  readonly voters: readonly MemberId[];
+  /**
+   * Age of the last sign that a leader is in charge: on the leader, of the
+   * last round that a quorum answered; elsewhere, of the last message from the
+   * leader. Infinity when there was none.
+   */
+  readonly confirmedMsAgo: number;
+  /** Remaining leader lease; 0 without one. */
+  readonly leaseMs: number;
+}
+
+/** Told to leadership listeners. */
+export interface LeadershipChange {
+  readonly leader: boolean;
+  readonly term: number;
+}
+
+/** Called with each change of this member's leadership. */
+export type LeadershipListener = (change: LeadershipChange) => void;
--- /dev/null
+++ b/packages/coordination/src/replicated_log/log_status.ts
@@ -0,0 +1,32 @@
+/** Derives what callers see from the core's state. */
+import {
+  isVoter,
+  lastIndex,
+  type LogCoreConfig,
+  type LogCoreState,
+} from './core_state.js';
+import {leaseUntil, quorumAckedAt} from './leases.js';
+import type {LogStatus} from './log_options.js';
+
+/** Status of a member at a time. */
+export function statusOf<C>(
+  state: LogCoreState<C>,
+  appliedIndex: number,
+  clock: {readonly now: number; readonly cfg: LogCoreConfig},
+): LogStatus {
+  const {now} = clock;
+  const leads = state.role === 'leader';
+  const confirmedAt = leads ? quorumAckedAt(state, now) : state.heardAt;
+  const role = isVoter(state) ? state.role : 'learner';
+  return {
+    role: role === 'pre-candidate' ? 'candidate' : role,
+    term: state.term,
+    leader: state.leader,
+    commitIndex: state.commitIndex,
+    appliedIndex,
+    lastIndex: lastIndex(state),
+    voters: state.config.voters,
+    confirmedMsAgo: now - confirmedAt,
+    leaseMs: Math.max(0, leaseUntil(state, clock) - now),
+  };
+}
--- /dev/null
+++ b/packages/coordination/src/replicated_log/replicated_log.ts
@@ -0,0 +1,294 @@
+/** Driver of the log's core: timers, storage, messages, the state machine. */
+import {CoreRunner} from './core_runner.js';
+import {
+  committedInTerm,
+  lastIndex,
+  type LogCoreState,
+  type LogEffect,
+} from './core_state.js';
+import {EffectRunner} from './effect_runner.js';
+import {LeadershipNotifier} from './leadership.js';
+import {LogFailedError, NotLeaderError} from './log_errors.js';
+import type {FetchedLog, LogFeed} from './log_feed.js';
+import type {LogMessage} from './log_messages.js';
+import {
+  type LeadershipListener,
+  type LogSettings,
+  logSettings,
+  type LogStatus,
+  type ReplicatedLogOptions,
+} from './log_options.js';
+import {statusOf} from './log_status.js';
+import type {StoredLog} from './log_storage.js';
+import {MachineRunner} from './machine_runner.js';
+import type {MemberId} from './members.js';
+import {closedError, proposalRefusal} from './proposal_refusal.js';
+import {Proposals} from './proposals.js';
+import {ReadBarriers} from './read_barriers.js';
+import {durableIndex} from './replication.js';
+import {choosePreferred, chooseSuccessor} from './successors.js';
+
+/** One member of a replicated log. */
+export class ReplicatedLog<C, R> implements LogFeed<C> {
+  private readonly options: ReplicatedLogOptions<C, R>;
+  private readonly settings: LogSettings;
+  private readonly core: CoreRunner<C>;
+  private readonly effects: EffectRunner<C>;
+  private readonly machine: MachineRunner<C, R>;
+  private readonly proposals = new Proposals<C, R>(() => this.flush());
+  private readonly reads: ReadBarriers;
+  private readonly leadership = new LeadershipNotifier();
+  private readonly commitListeners = new Set<() => void>();
+  private closed = false;
+  private failure: Error | undefined;
+  private preferredAt = 0;
+
+  private constructor(
+    options: ReplicatedLogOptions<C, R>,
+    stored: StoredLog<C> | null,
+  ) {
+    this.options = options;
+    this.settings = logSettings(options);
+    this.core = new CoreRunner<C>({
+      cfg: this.settings,
+      start: {
+        self: options.self,
+        voters: options.voters,
+        term: stored?.term ?? 0,
+        votedFor: stored?.votedFor ?? null,
+        snapshot: stored?.snapshot ?? null,
+        entries: stored?.entries ?? [],
+      },
+      random: options.random ?? Math.random,
+      onStep: (before, effects) => this.stepped(before, effects),
+      onTick: () => this.preferLeader(),
+    });
+    const {core} = this;
+    this.machine = new MachineRunner(options.machine, core.state.snapshot);
+    this.reads = new ReadBarriers(id => core.dispatch({type: 'read', id}));
+    this.effects = new EffectRunner(options.storage, options.transport, {
+      synced: (index, term) => core.dispatch({type: 'synced', index, term}),
+      storageFailed: err => this.storageFailed(err),
+      readReady: id => this.reads.ready(id),
+      readRefused: id => this.reads.refused(id, core.state.leader),
+    });
+  }
+
+  /**
+   * Recovers the member from its storage and starts it.
+   *
+   * @throws LogFailedError when the storage can't be read.
+   */
+  static async open<C, R>(
+    options: ReplicatedLogOptions<C, R>,
+  ): Promise<ReplicatedLog<C, R>> {
+    if (options.mode === 'sync-everything' && !options.storage) {
+      throw new LogFailedError('sync-everything needs a storage');
+    }
+    try {
+      const stored = (await options.storage?.load()) ?? null;
+      const log = new ReplicatedLog(options, stored);
+      log.core.schedule();
+      return log;
+    } catch (err) {
+      throw new LogFailedError('the log could not be recovered', {cause: err});
+    }
+  }
+
+  get leader(): MemberId | null {
+    return this.core.state.leader;
+  }
+
+  get term(): number {
+    return this.core.state.term;
+  }
+
+  /**
+   * Proposes a command. Resolves with the machine's result once the command is
+   * committed and applied here, and if `durable` is set, synced on a disk.
+   *
+   * @throws NotLeaderError, NotProposedError when never proposed.
+   * @throws OutcomeUnknownError when leadership was lost after proposing.
+   * @throws LogFailedError when the log failed before proposing.
+   */
+  propose(command: C, {durable = false} = {}): Promise<R> {
+    const clock = {now: performance.now(), cfg: this.settings};
+    const refusal = this.closed
+      ? closedError(this.failure)
+      : proposalRefusal(this.core.state, durable, clock);
+    if (refusal) return Promise.reject(refusal);
+    return this.proposals.add(command, durable);
+  }
+
+  /**
+   * Resolves once a quorum has confirmed this leader after the call, so that
+   * the machine holds every command acknowledged before the call.
+   *
+   * @throws NotLeaderError when this member can't prove that it leads.
+   */
+  readBarrier(): Promise<void> {
+    if (this.closed || this.core.state.role !== 'leader') {
+      return Promise.reject(new NotLeaderError(this.core.state.leader));
+    }
+    return this.reads.add();
+  }
+
+  /** Takes a message from another member. */
+  receive(from: MemberId, message: LogMessage<C>): void {
+    this.core.dispatch({type: 'receive', from, message});
+  }
+
+  /** Tells that all connections to a member broke; may start an election. */
+  peerLost(name: string): void {
+    this.core.dispatch({type: 'peer-lost', name});
+  }
+
+  /** Tells the latest registered incarnation of a member. */
+  setRegistered(member: MemberId): void {
+    this.core.dispatch({type: 'registered', member});
+  }
+
+  /**
+   * Hands leadership to a voter, by default to the most up-to-date one. The
+   * transfer ends with a leadership change or after the election timeout.
+   *
+   * @returns Whether a transfer was started.
+   */
+  transferLeadership(to = chooseSuccessor(this.core.state)): boolean {
+    if (!to || this.closed) return false;
+    this.core.dispatch({type: 'transfer', to});
+    return (
+      this.core.state.role !== 'leader' || this.core.state.transfer !== null
+    );
+  }
+
+  /**
+   * Adds a listener; one that is added while this member leads is told at
+   * once. Returns a function that removes it.
+   */
+  onLeadership(listener: LeadershipListener): () => void {
+    return this.leadership.add(listener);
+  }
+
+  /** Adds a listener for an advanced commit index; returns its removal. */
+  onCommit(listener: () => void): () => void {
+    this.commitListeners.add(listener);
+    return () => void this.commitListeners.delete(listener);
+  }
+
+  status(): LogStatus {
+    const clock = {now: performance.now(), cfg: this.settings};
+    return statusOf(this.core.state, this.machine.appliedIndex, clock);
+  }
+
+  fetch(afterIndex: number, maxEntries: number): FetchedLog<C> {
+    const {confirmedMsAgo} = this.status();
+    return this.machine.fetch(
+      this.core.state,
+      afterIndex,
+      maxEntries,
+      confirmedMsAgo,
+    );
+  }
+
+  /** Stops the member and waits for the writes that it started. */
+  async close(): Promise<void> {
+    this.stop();
+    await this.effects.close();
+  }
+
+  /** Stops the member as a crash would, without waiting for writes. */
+  abort(): void {
+    this.stop();
+    this.effects.abort();
+  }
+
+  private stop(cause?: Error): void {
+    if (this.closed) return;
+    this.closed = true;
+    this.failure = cause;
+    this.core.close();
+    this.proposals.close(cause);
+    this.reads.close(this.core.state.leader);
+    this.leadership.update(false, this.core.state.term);
+  }
+
+  private stepped(
+    before: LogCoreState<C>,
+    effects: readonly LogEffect<C>[],
+  ): void {
+    const {state} = this.core;
+    for (const effect of effects) this.effects.run(effect);
+    if (state.commitIndex !== before.commitIndex) this.applyCommitted();
+    if (this.closed) return;
+    this.proposals.settle(durableIndex(state, this.settings));
+    const leads = state.role === 'leader' && state.term === before.term;
+    if (before.role === 'leader' && !leads) {
+      this.proposals.leadershipLost(state.leader);
+    }
+    this.leadership.update(committedInTerm(state), state.term);
+  }
+
+  private applyCommitted(): void {
+    const {state} = this.core;
+    try {
+      this.machine.applyUpTo(state, (index, results) =>
+        this.proposals.applied(index, results),
+      );
+    } catch (err) {
+      this.fail(new LogFailedError('the state machine failed', {cause: err}));
+      return;
+    }
+    const data = this.machine.snapshotIfDue(state, this.settings);
+    if (data) {
+      const index = state.commitIndex;
+      this.core.dispatchNext({type: 'snapshot-taken', index, data});
+    }
+    this.proposals.requestFlush();
+    for (const listener of [...this.commitListeners]) listener();
+  }
+
+  /** Proposes the queued commands unless an entry is still uncommitted. */
+  private flush(): void {
+    const {state} = this.core;
+    if (this.proposals.queued === 0 || this.closed) return;
+    const clock = {now: performance.now(), cfg: this.settings};
+    const refusal = proposalRefusal(state, false, clock);
+    if (refusal) {
+      this.proposals.rejectQueued(refusal);
+      return;
+    }
+    if (lastIndex(state) > state.commitIndex) return;
+    const batch = this.proposals.take(this.settings.maxBatch);
+    this.proposals.sent(lastIndex(state) + 1, batch);
+    this.core.dispatch({
+      type: 'propose',
+      commands: batch.map(proposal => proposal.command),
+      durable: batch.some(proposal => proposal.durable),
+    });
+  }
+
+  private storageFailed(cause: unknown): void {
+    const err = new LogFailedError('storage failed', {cause});
+    if (this.settings.syncEverything) {
+      this.fail(err);
+      return;
+    }
+    this.core.dispatch({type: 'storage-failed'});
+    this.options.onFailure?.(err);
+  }
+
+  private fail(err: Error): void {
+    this.stop(err);
+    this.effects.abort();
+    this.options.onFailure?.(err);
+  }
+
+  private preferLeader(): void {
+    const to = choosePreferred(this.core.state, this.options.preferredLeader);
+    const now = performance.now();
+    if (!to || now < this.preferredAt) return;
+    this.preferredAt = now + 2 * this.settings.electionTimeoutMs;
+    this.core.dispatch({type: 'transfer', to});
+  }
+}
