Add upstream registry with versioned peer claims

Cause: every instance of a data centre needs to know the live upstreams, and messages between peers may be lost, repeated or reordered. Change: a pure UpstreamRegistry; each peer's claims carry a version, and a constant-size summary confirms them.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -46,3 +46,16 @@
 } from './records/record_messages.js';
 export {DEFAULT_MAX_RECORDS, RecordsState} from './records/records_state.js';
 export {StateMachine} from './state_machine.js';
+export type {
+  AnnounceResult,
+  ObservedUsage,
+  ReceiveResult,
+  RegisteredUpstream,
+  UpstreamChange,
+  UpstreamEvent,
+  UpstreamPeerMessage,
+} from './upstreams/upstream_messages.js';
+export {
+  UpstreamRegistry,
+  type UpstreamRegistryOptions,
+} from './upstreams/upstream_registry.js';
