--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -45,7 +45,6 @@
   type TaskStart,
 } from './records/record_messages.js';
 export {DEFAULT_MAX_RECORDS, RecordsState} from './records/records_state.js';
-export {StateMachine} from './state_machine.js';
 export type {
   CoreStart,
   LogCoreConfig,
@@ -111,3 +110,17 @@
 export {ReplicatedLog} from './replicated_log/replicated_log.js';
 export {durableIndex, isAcknowledged} from './replicated_log/replication.js';
 export {step} from './replicated_log/step.js';
+export {StateMachine} from './state_machine.js';
+export type {
+  AnnounceResult,
+  ObservedUsage,
+  ReceiveResult,
+  RegisteredUpstream,
+  UpstreamChange,
+  UpstreamEvent,
+  UpstreamPeerMessage,
+} from './upstreams/upstream_messages.js';
+export {
+  UpstreamRegistry,
+  type UpstreamRegistryOptions,
+} from './upstreams/upstream_registry.js';
