--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -9,7 +9,6 @@
 export {
   type AbandonGroupCommand,
   type Abandonment,
-  ABSENT_INCARNATION,
   type AcceptAnswersCommand,
   type ChangeOrigin,
   type ControlCommand,
@@ -116,6 +115,7 @@
   ObservedUsage,
   ReceiveResult,
   RegisteredUpstream,
+  RegistrySender,
   UpstreamChange,
   UpstreamEvent,
   UpstreamPeerMessage,
--- /dev/null
+++ b/packages/entry/src/dispatch/attempt_follower.ts
@@ -0,0 +1,167 @@
+/** Follows attempts to their outcome and decides how their tasks go on. */
+import {assertNever, must} from '@mustardferry/model';
+import type {Logger} from '@mustardferry/runtime';
+
+import type {UpstreamPool} from '../upstreams/upstream_pool.js';
+import type {AttemptBook} from './attempt_book.js';
+import type {AttemptLauncher} from './attempt_launcher.js';
+import type {AttemptOutcome} from './attempt_outcome.js';
+import type {OutcomePolicy} from './outcome_policy.js';
+import {StartRecorder} from './start_recorder.js';
+import type {RunningAttempt, TaskEntry} from './task_entry.js';
+
+/** Options of the follower. */
+export interface AttemptFollowerOptions {
+  readonly pool: UpstreamPool;
+  readonly book: AttemptBook;
+  readonly launcher: AttemptLauncher;
+  readonly outcomes: OutcomePolicy;
+  readonly logger: Logger;
+  /** Puts a task back into the queue. */
+  readonly requeue: (entry: TaskEntry) => void;
+  /** Forgets a task. */
+  readonly drop: (entry: TaskEntry) => void;
+  /** Told when an attempt freed its slot. */
+  readonly freed: () => void;
+}
+
+/** Sends attempts and handles what becomes of them. */
+export class AttemptFollower {
+  private readonly recorder = new StartRecorder();
+
+  constructor(private readonly options: AttemptFollowerOptions) {}
+
+  /** Sends an attempt, after recording its start where that is needed. */
+  begin(entry: TaskEntry, attempt: RunningAttempt): void {
+    if (entry.task.job.kind.repeatable) this.send(entry, attempt);
+    else void this.recordAndSend(entry, attempt);
+  }
+
+  /** Follows an attempt that an earlier owner recorded. */
+  resume(entry: TaskEntry, attempt: RunningAttempt): void {
+    const start = entry.task.job.record.starts.find(
+      candidate =>
+        candidate.taskIndex === entry.task.index &&
+        candidate.attempt === attempt.attempt,
+    );
+    const {upstream} = must(start, 'resumed attempt without a start record');
+    void this.options.launcher
+      .resume(entry, attempt, upstream)
+      .then(outcome => this.onOutcome(entry, attempt, outcome));
+  }
+
+  private async recordAndSend(
+    entry: TaskEntry,
+    attempt: RunningAttempt,
+  ): Promise<void> {
+    const {job, owner, index} = entry.task;
+    const {address, incarnation} = must(
+      this.options.pool.announcement(attempt.upstream),
+      'routed to an upstream that is not in the pool',
+    );
+    const result = await this.recorder.record(owner, {
+      jobId: job.jobId,
+      taskIndex: index,
+      attempt: attempt.attempt,
+      upstream: {address, incarnation},
+      atMs: attempt.startedAtMs,
+    });
+    if (result?.outcome === 'started' && owner.active && !job.settled) {
+      this.send(entry, attempt);
+      return;
+    }
+    this.vacate(entry, attempt);
+    this.options.drop(entry);
+    if (result?.outcome === 'refused') {
+      owner.jobFailed(job, {
+        code: 'task-outcome-unknown',
+        detail: `The start was refused: ${result.reason}.`,
+        unknown: true,
+      });
+    } else if (result === undefined && owner.active) {
+      owner.jobFailed(job, {
+        code: 'no-durable-storage',
+        detail: 'The start could not be recorded on synced storage.',
+      });
+    }
+  }
+
+  private send(entry: TaskEntry, attempt: RunningAttempt): void {
+    entry.sent += 1;
+    entry.task.job.noteStarted();
+    void this.options.launcher
+      .launch(entry, attempt)
+      .then(outcome => this.onOutcome(entry, attempt, outcome));
+  }
+
+  private vacate(entry: TaskEntry, attempt: RunningAttempt): void {
+    this.options.book.vacate(entry, attempt, Date.now());
+    this.options.freed();
+  }
+
+  private onOutcome(
+    entry: TaskEntry,
+    attempt: RunningAttempt,
+    outcome: AttemptOutcome,
+  ): void {
+    this.vacate(entry, attempt);
+    this.options.outcomes.observe(entry, attempt, outcome);
+    const {job, owner, index} = entry.task;
+    if (outcome.type === 'not-started' || outcome.type === 'refused') {
+      job.noteNotStarted();
+    }
+    if (entry.place === 'ended' || job.settled || !owner.active) {
+      if (entry.running.size === 0) this.options.drop(entry);
+      return;
+    }
+    if (outcome.type === 'done') {
+      for (const other of entry.running.values()) other.run?.stop();
+      this.options.drop(entry);
+      owner.taskCompleted(job, index, outcome.value);
+      return;
+    }
+    // Another attempt of the task may still succeed.
+    if (entry.running.size === 0) this.afterFailure(entry, attempt, outcome);
+  }
+
+  private afterFailure(
+    entry: TaskEntry,
+    attempt: RunningAttempt,
+    outcome: Exclude<AttemptOutcome, {type: 'done'}>,
+  ): void {
+    const {job, owner} = entry.task;
+    const next = this.options.outcomes.afterFailure(entry, attempt, outcome);
+    switch (next.type) {
+      case 'fail':
+        this.options.drop(entry);
+        owner.jobFailed(job, next.failure);
+        return;
+      case 'retry':
+        void this.retry(entry, next.delayMs, next.seal ? attempt : undefined);
+        return;
+      default:
+        assertNever(next);
+    }
+  }
+
+  private async retry(
+    entry: TaskEntry,
+    delayMs: number,
+    seal: RunningAttempt | undefined,
+  ): Promise<void> {
+    entry.place = 'backing-off';
+    const {job, owner, index} = entry.task;
+    if (seal !== undefined) {
+      try {
+        await owner.recordSeal(job.jobId, index, seal.attempt);
+      } catch (err) {
+        this.options.logger.info('seal-not-recorded', {jobId: job.jobId, err});
+        return;
+      }
+    }
+    if (delayMs > 0) await new Promise(resolve => setTimeout(resolve, delayMs));
+    if (entry.place !== 'backing-off' || job.settled) return;
+    entry.waited = false;
+    this.options.requeue(entry);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/dispatch/attempt_launcher.ts
@@ -0,0 +1,125 @@
+/** Sends attempts to upstreams and keeps their leases. */
+import type {RunTimeEstimator} from '@mustardferry/decisions';
+import type {
+  OwnerEpoch,
+  StartTaskRequest,
+  UpstreamId,
+} from '@mustardferry/model';
+import {must} from '@mustardferry/model';
+import type {Metrics} from '@mustardferry/runtime';
+
+import type {UpstreamPool} from '../upstreams/upstream_pool.js';
+import type {AttemptOutcome} from './attempt_outcome.js';
+import type {LeaseRenewer} from './lease_renewer.js';
+import {TaskAttempt} from './task_attempt.js';
+import type {RunningAttempt, TaskEntry} from './task_entry.js';
+
+/** Options of the launcher. Durations are in milliseconds. */
+export interface AttemptLauncherOptions {
+  readonly instance: string;
+  readonly leaseMs: number;
+  readonly pool: UpstreamPool;
+  readonly estimator: RunTimeEstimator;
+  readonly renewer: LeaseRenewer;
+  readonly metrics: Metrics;
+}
+
+/** An answer is overdue after this multiple of the estimate's p95. */
+const OVERDUE_FACTOR = 2;
+const OVERDUE_MIN_MS = 500;
+/** An unreachable upstream of a repeatable task is given up after this. */
+const REPEATABLE_RESOLVE_MS = 1_000;
+/** Others may not run again, so their upstream gets time to return. */
+const UNREPEATABLE_RESOLVE_MS = 20_000;
+
+/** Runs attempts over the links of the pool. */
+export class AttemptLauncher {
+  constructor(private readonly options: AttemptLauncherOptions) {}
+
+  /** Starts an attempt on the upstream that it was routed to. */
+  launch(entry: TaskEntry, attempt: RunningAttempt): Promise<AttemptOutcome> {
+    const {pool, metrics} = this.options;
+    const announcement = must(
+      pool.announcement(attempt.upstream),
+      'routed to an upstream that is not in the pool',
+    );
+    metrics.increment('tasks.started', 1, {team: entry.queued.team});
+    return this.follow(entry, attempt, announcement, run => run.run());
+  }
+
+  /** Resolves an attempt that an earlier owner recorded. */
+  resume(
+    entry: TaskEntry,
+    attempt: RunningAttempt,
+    upstream: UpstreamId,
+  ): Promise<AttemptOutcome> {
+    return this.follow(entry, attempt, upstream, run => run.resume());
+  }
+
+  private async follow(
+    entry: TaskEntry,
+    attempt: RunningAttempt,
+    upstream: UpstreamId,
+    begin: (run: TaskAttempt) => Promise<AttemptOutcome>,
+  ): Promise<AttemptOutcome> {
+    const {pool, renewer, leaseMs} = this.options;
+    const link = pool.linkTo(upstream);
+    const req = this.request(entry, attempt.attempt, upstream, leaseMs);
+    const run = new TaskAttempt({
+      link,
+      req,
+      overdueAfterMs: this.overdueAfterMs(entry, attempt.upstream),
+      resolveTimeoutMs: entry.task.job.kind.repeatable
+        ? REPEATABLE_RESOLVE_MS
+        : UNREPEATABLE_RESOLVE_MS,
+      onProbe: needed => this.countProbe(needed),
+    });
+    attempt.run = run;
+    const {taskId} = req;
+    const startedAtMs = attempt.startedAtMs;
+    renewer.add({taskId, attempt: attempt.attempt, startedAtMs, link, run});
+    try {
+      return await begin(run);
+    } finally {
+      renewer.remove(taskId, attempt.attempt);
+    }
+  }
+
+  private request(
+    entry: TaskEntry,
+    attempt: number,
+    upstream: UpstreamId,
+    leaseMs: number,
+  ): StartTaskRequest {
+    const {job, owner, index} = entry.task;
+    const spec = must(job.record.tasks[index], 'task index out of range');
+    const epoch: OwnerEpoch = owner.epoch;
+    return {
+      taskId: entry.queued.taskId,
+      attempt,
+      incarnation: upstream.incarnation,
+      owner: epoch,
+      instance: this.options.instance,
+      team: entry.queued.team,
+      kind: entry.queued.kind,
+      resources: entry.queued.resources,
+      leaseMs,
+      payload: spec.payload,
+    };
+  }
+
+  private overdueAfterMs(entry: TaskEntry, upstream: string): number {
+    const {p95Ms} = this.options.estimator.estimate({
+      team: entry.queued.team,
+      kind: entry.queued.kind,
+      upstream,
+      declaredMs: entry.queued.expectedRunMs,
+    });
+    return Math.max(OVERDUE_MIN_MS, OVERDUE_FACTOR * p95Ms);
+  }
+
+  private countProbe(needed: boolean): void {
+    const cause = needed ? 'probe' : 'unneeded-probe';
+    this.options.metrics.increment('messages.wasted', needed ? 0 : 1, {cause});
+  }
+}
--- /dev/null
+++ b/packages/entry/src/dispatch/dispatcher.ts
@@ -0,0 +1,240 @@
+/** Picks tasks by share, routes them and follows their attempts. */
+import type {
+  QueuedTask,
+  RoutingDecision,
+  RoutingPolicy,
+  RunTimeEstimator,
+  SharingPolicy,
+} from '@mustardferry/decisions';
+import type {JobAnswer, Problem} from '@mustardferry/model';
+import {upstreamKey} from '@mustardferry/model';
+import type {Logger, Metrics} from '@mustardferry/runtime';
+
+import type {RunningJob} from '../jobs/running_job.js';
+import {
+  type AdmissionRequest,
+  type ScheduledTask,
+  TaskScheduler,
+} from '../jobs/task_scheduler.js';
+import type {UpstreamPool} from '../upstreams/upstream_pool.js';
+import type {Admission} from './admission.js';
+import {AttemptBook, type CreditUse} from './attempt_book.js';
+import {AttemptFollower} from './attempt_follower.js';
+import type {AttemptLauncher} from './attempt_launcher.js';
+import {JobProgress} from './job_progress.js';
+import type {OutcomePolicy} from './outcome_policy.js';
+import type {RunningAttempt, TaskEntry} from './task_entry.js';
+import {TaskTable} from './task_table.js';
+
+/** Options of the dispatcher. */
+export interface DispatcherOptions {
+  readonly sharing: SharingPolicy;
+  readonly routing: RoutingPolicy;
+  readonly estimator: RunTimeEstimator;
+  readonly pool: UpstreamPool;
+  readonly launcher: AttemptLauncher;
+  readonly credits: CreditUse;
+  readonly admission: Admission;
+  readonly outcomes: OutcomePolicy;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+/** Starts in one turn of the event loop, so that replies are read between. */
+const MAX_STARTS_PER_TURN = 256;
+const UNROUTABLE_RETRY_MS = 50;
+
+/** The dispatch loop of an entry instance. */
+export class Dispatcher extends TaskScheduler {
+  private readonly tasks = new TaskTable();
+  private readonly held = new Map<string, NodeJS.Timeout>();
+  private readonly progress = new JobProgress();
+  private readonly book: AttemptBook;
+  private readonly follower: AttemptFollower;
+  private pumpScheduled = false;
+  private retryTimer: NodeJS.Timeout | undefined;
+  private closed = false;
+
+  constructor(private readonly options: DispatcherOptions) {
+    super();
+    this.book = new AttemptBook({...options, progress: this.progress});
+    this.follower = new AttemptFollower({
+      ...options,
+      book: this.book,
+      requeue: entry => this.enqueue(entry),
+      drop: entry => this.drop(entry),
+      freed: () => this.wake(),
+    });
+  }
+
+  /** Tasks that are queued or running. */
+  get openTasks(): number {
+    return this.tasks.size;
+  }
+
+  override admit(req: AdmissionRequest): Problem | undefined {
+    return this.options.admission.decide(req, Date.now());
+  }
+
+  override schedule(task: ScheduledTask): void {
+    if (!task.job.settled) this.enqueue(this.tasks.add(task, Date.now()));
+  }
+
+  override resume(task: ScheduledTask): void {
+    const start = task.job.record.starts.findLast(
+      candidate => candidate.taskIndex === task.index && !candidate.sealed,
+    );
+    if (start === undefined || task.job.settled) return;
+    const entry = this.tasks.add(task, Date.now());
+    entry.place = 'running';
+    const attempt: RunningAttempt = {
+      attempt: start.attempt,
+      upstream: upstreamKey(start.upstream),
+      startedAtMs: start.atMs,
+      expectedRunMs: entry.queued.expectedRunMs,
+      chargeId: `${entry.queued.taskId}#${start.attempt}`,
+    };
+    entry.running.set(attempt.attempt, attempt);
+    this.follower.resume(entry, attempt);
+  }
+
+  override cancel(job: RunningJob, _answer: JobAnswer): void {
+    this.options.sharing.cancel(job.jobId, Date.now());
+    for (const entry of this.tasks.ofJob(job.jobId)) {
+      for (const attempt of entry.running.values()) attempt.run?.stop();
+      if (entry.running.size === 0) this.drop(entry);
+      else entry.place = 'ended';
+    }
+    this.wake();
+  }
+
+  /** Looks for tasks to start; called when credits or upstreams change. */
+  wake(): void {
+    if (this.pumpScheduled || this.closed) return;
+    this.pumpScheduled = true;
+    setImmediate(() => {
+      this.pumpScheduled = false;
+      this.pump();
+    });
+  }
+
+  close(): void {
+    this.closed = true;
+    clearTimeout(this.retryTimer);
+    for (const timer of this.held.values()) clearTimeout(timer);
+    for (const entry of this.tasks.all()) {
+      for (const attempt of entry.running.values()) attempt.run?.checkNow();
+    }
+  }
+
+  private enqueue(entry: TaskEntry): void {
+    entry.place = 'queued';
+    this.options.sharing.enqueue(entry.queued, Date.now());
+    this.wake();
+  }
+
+  private pump(): void {
+    const {sharing, pool} = this.options;
+    const unroutable: TaskEntry[] = [];
+    const canRoute = (task: QueuedTask): boolean =>
+      pool.candidates.hasFree(task.kind);
+    let starts = 0;
+    for (; starts < MAX_STARTS_PER_TURN; starts++) {
+      const now = Date.now();
+      const decision = sharing.next(now, canRoute);
+      if (decision === undefined) break;
+      const entry = this.tasks.get(decision.task.taskId);
+      if (entry === undefined || entry.place !== 'queued') continue;
+      if (!entry.task.owner.active) {
+        unroutable.push(entry);
+        continue;
+      }
+      const routed = this.route(entry, now);
+      if (routed.type === 'start') this.begin(entry, routed, now);
+      else if (routed.type === 'wait') this.hold(entry, routed.untilMs, now);
+      else unroutable.push(entry);
+    }
+    for (const entry of unroutable) {
+      this.options.sharing.enqueue(entry.queued, Date.now());
+    }
+    if (starts === MAX_STARTS_PER_TURN) this.wake();
+    else if (unroutable.length > 0) this.wakeLater();
+  }
+
+  private route(entry: TaskEntry, now: number): RoutingDecision {
+    const {queued, excluded, waited} = entry;
+    const {routing, pool, sharing} = this.options;
+    const jobEndsAtMs = this.progress.endsAtMs(queued.jobId);
+    const jobRacks = this.progress.racks(queued.jobId);
+    return routing.choose(
+      {
+        taskId: queued.taskId,
+        team: queued.team,
+        kind: queued.kind,
+        urgency: queued.urgency,
+        resources: queued.resources,
+        expectedRunMs: queued.expectedRunMs,
+        excluded,
+        waited,
+        waitingTasks: sharing.queuedTasks,
+        ...(jobEndsAtMs === undefined ? {} : {jobEndsAtMs}),
+        ...(jobRacks === undefined ? {} : {jobRacks}),
+      },
+      pool.candidates,
+      now,
+    );
+  }
+
+  /** Tries tasks again that no free upstream could take. */
+  private wakeLater(): void {
+    clearTimeout(this.retryTimer);
+    this.retryTimer = setTimeout(() => this.wake(), UNROUTABLE_RETRY_MS);
+  }
+
+  private hold(entry: TaskEntry, untilMs: number, now: number): void {
+    entry.place = 'held';
+    entry.waited = true;
+    const {taskId} = entry.queued;
+    const timer = setTimeout(
+      () => {
+        this.held.delete(taskId);
+        if (entry.place === 'held') this.enqueue(entry);
+      },
+      Math.max(1, untilMs - now),
+    );
+    this.held.set(taskId, timer);
+  }
+
+  private begin(
+    entry: TaskEntry,
+    routed: Extract<RoutingDecision, {type: 'start'}>,
+    now: number,
+  ): void {
+    const attempt: RunningAttempt = {
+      attempt: entry.nextAttempt,
+      upstream: routed.upstream,
+      startedAtMs: now,
+      expectedRunMs: routed.expectedRunMs,
+      chargeId: `${entry.queued.taskId}#${entry.nextAttempt}`,
+    };
+    entry.nextAttempt += 1;
+    entry.place = 'running';
+    this.book.occupy(entry, attempt);
+    entry.task.job.explain({
+      atMs: now,
+      taskId: entry.queued.taskId,
+      step: 'routed',
+      reason: routed.reason,
+      detail: routed.upstream,
+    });
+    this.follower.begin(entry, attempt);
+  }
+
+  private drop(entry: TaskEntry): void {
+    entry.place = 'ended';
+    const {taskId, jobId} = entry.queued;
+    clearTimeout(this.held.get(taskId));
+    this.held.delete(taskId);
+    if (this.tasks.remove(entry)) this.progress.forget(jobId);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/dispatch/job_progress.ts
@@ -0,0 +1,39 @@
+/** Expected ends and racks of a job's running tasks, for routing. */
+
+interface Progress {
+  endsAtMs: number;
+  readonly racks: Map<string, number>;
+}
+
+/** What routing knows about the other tasks of a job. */
+export class JobProgress {
+  private readonly jobs = new Map<string, Progress>();
+
+  started(jobId: string, rack: string, expectedEndAtMs: number): void {
+    let progress = this.jobs.get(jobId);
+    if (progress === undefined) {
+      progress = {endsAtMs: 0, racks: new Map()};
+      this.jobs.set(jobId, progress);
+    }
+    progress.endsAtMs = Math.max(progress.endsAtMs, expectedEndAtMs);
+    progress.racks.set(rack, (progress.racks.get(rack) ?? 0) + 1);
+  }
+
+  ended(jobId: string, rack: string): void {
+    const racks = this.jobs.get(jobId)?.racks;
+    if (racks === undefined) return;
+    racks.set(rack, Math.max(0, (racks.get(rack) ?? 0) - 1));
+  }
+
+  forget(jobId: string): void {
+    this.jobs.delete(jobId);
+  }
+
+  endsAtMs(jobId: string): number | undefined {
+    return this.jobs.get(jobId)?.endsAtMs;
+  }
+
+  racks(jobId: string): ReadonlyMap<string, number> | undefined {
+    return this.jobs.get(jobId)?.racks;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/dispatch/task_table.ts
@@ -0,0 +1,74 @@
+/** Tasks of the dispatcher by id and by job. */
+import type {QueuedTask} from '@mustardferry/decisions';
+import {must} from '@mustardferry/model';
+
+import type {ScheduledTask} from '../jobs/task_scheduler.js';
+import type {TaskEntry} from './task_entry.js';
+
+function queuedForm({job, index}: ScheduledTask, now: number): QueuedTask {
+  const {record, kind} = job;
+  const spec = must(record.tasks[index], 'task index out of range');
+  return {
+    taskId: `${job.jobId}/${index}`,
+    jobId: job.jobId,
+    team: record.team,
+    kind: record.kind,
+    urgency: kind.urgency,
+    resources: spec.resources ?? kind.resources,
+    expectedRunMs: spec.expectedRunMs ?? kind.expectedRunMs,
+    targetAtMs: record.admittedAtMs + kind.targetMs,
+    enqueuedAtMs: now,
+  };
+}
+
+/** Index of open tasks. */
+export class TaskTable {
+  private readonly entries = new Map<string, TaskEntry>();
+  private readonly byJob = new Map<string, Set<TaskEntry>>();
+
+  get size(): number {
+    return this.entries.size;
+  }
+
+  get(taskId: string): TaskEntry | undefined {
+    return this.entries.get(taskId);
+  }
+
+  all(): Iterable<TaskEntry> {
+    return this.entries.values();
+  }
+
+  ofJob(jobId: string): readonly TaskEntry[] {
+    return [...(this.byJob.get(jobId) ?? [])];
+  }
+
+  add(task: ScheduledTask, now: number): TaskEntry {
+    const entry: TaskEntry = {
+      task,
+      queued: queuedForm(task, now),
+      excluded: new Set(),
+      running: new Map(),
+      nextAttempt: task.nextAttempt,
+      sent: 0,
+      errors: 0,
+      waited: false,
+      place: 'queued',
+    };
+    this.entries.set(entry.queued.taskId, entry);
+    const siblings = this.byJob.get(entry.queued.jobId);
+    if (siblings) siblings.add(entry);
+    else this.byJob.set(entry.queued.jobId, new Set([entry]));
+    return entry;
+  }
+
+  /** Removes a task; true when it was the last one of its job. */
+  remove(entry: TaskEntry): boolean {
+    const {taskId, jobId} = entry.queued;
+    // A task id may be in use again after its job moved here a second time.
+    if (this.entries.get(taskId) === entry) this.entries.delete(taskId);
+    const siblings = this.byJob.get(jobId);
+    if (!siblings?.delete(entry) || siblings.size > 0) return false;
+    this.byJob.delete(jobId);
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/groups/group_service.ts
@@ -0,0 +1,261 @@
+/** All record groups that this instance is a voter of. */
+import {randomUUID} from 'node:crypto';
+
+import type {
+  LogStorage,
+  MemberId,
+  RecordsCommand,
+} from '@mustardferry/coordination';
+import type {InstanceSettings} from '@mustardferry/model';
+import type {Logger} from '@mustardferry/runtime';
+
+import type {ControlService} from '../control/control_service.js';
+import type {JobOwner} from '../jobs/job_owner.js';
+import type {PeerNetwork} from '../peers/peer_network.js';
+import {type GroupDefinition, groupDefinitions} from './group_members.js';
+import {type OwnerContext, RecordGroup} from './record_group.js';
+
+/** Options of the service. */
+export interface GroupServiceOptions {
+  readonly settings: InstanceSettings;
+  readonly incarnation: string;
+  readonly control: ControlService;
+  readonly network: PeerNetwork;
+  readonly owner: OwnerContext;
+  readonly logger: Logger;
+  readonly onOwnership: () => void;
+  /** Storage of one generation of a group; null without a disk. */
+  readonly openStorage: (
+    group: string,
+    generation: number,
+  ) => Promise<LogStorage<RecordsCommand> | null>;
+}
+
+const RECONCILE_PERIOD_MS = 500;
+/** A member without a vote that hears of no leader for this long gives up. */
+const ABANDON_AFTER_MS = 5_000;
+
+/** Follows the control state: joins, replaces and leaves generations. */
+export class GroupService {
+  readonly name = 'group-service';
+  private readonly definitions: readonly GroupDefinition[];
+  private readonly groups = new Map<string, RecordGroup>();
+  private readonly abandoned = new Map<string, number>();
+  private readonly timer: NodeJS.Timeout;
+  private reconciling = false;
+  private again = false;
+  private registered = false;
+  private defined = false;
+  private closed = false;
+
+  constructor(private readonly options: GroupServiceOptions) {
+    this.definitions = groupDefinitions(options.settings);
+    this.timer = setInterval(() => this.reconcile(), RECONCILE_PERIOD_MS);
+  }
+
+  get self(): MemberId {
+    const {settings, incarnation} = this.options;
+    return {name: settings.name, incarnation};
+  }
+
+  /** Groups of this data centre that this instance owns. */
+  get ownedGroups(): readonly string[] {
+    return [...this.groups.values()]
+      .filter(group => group.owner !== undefined)
+      .map(group => group.name);
+  }
+
+  /** Whether every group that this instance votes in has a leader. */
+  get isReady(): boolean {
+    const mine = this.definitions.filter(definition =>
+      this.isMember(definition),
+    );
+    return mine.every(({name}) => this.groups.get(name)?.leader !== undefined);
+  }
+
+  get openJobs(): number {
+    let open = 0;
+    for (const group of this.groups.values())
+      open += group.owner?.openJobs ?? 0;
+    return open;
+  }
+
+  ownerOf(group: string): JobOwner | undefined {
+    return this.groups.get(group)?.owner;
+  }
+
+  leaderOf(group: string): string | undefined {
+    return this.groups.get(group)?.leader;
+  }
+
+  receive(logName: string, from: MemberId, message: unknown): void {
+    const name = logName.slice(0, logName.lastIndexOf('@'));
+    const group = this.groups.get(name);
+    if (group?.logName === logName) group.receive(from, message);
+  }
+
+  peerLost(peer: string): void {
+    for (const group of this.groups.values()) group.peerLost(peer);
+  }
+
+  /** Hands all owned groups to other voters. */
+  handOver(): void {
+    for (const group of this.groups.values()) {
+      if (group.leads) group.handOver();
+    }
+  }
+
+  /** Compares what the control state says with what runs here. */
+  reconcile(): void {
+    if (this.closed) return;
+    if (this.reconciling) {
+      this.again = true;
+      return;
+    }
+    this.reconciling = true;
+    void this.reconcileOnce()
+      .catch((err: unknown) =>
+        this.options.logger.warn('group-reconcile-failed', {err}),
+      )
+      .finally(() => {
+        this.reconciling = false;
+        if (this.again) {
+          this.again = false;
+          this.reconcile();
+        }
+      });
+  }
+
+  async close(): Promise<void> {
+    this.closed = true;
+    clearInterval(this.timer);
+    await Promise.all([...this.groups.values()].map(group => group.close()));
+  }
+
+  private isMember(definition: GroupDefinition): boolean {
+    const {name} = this.options.settings;
+    return definition.members.some(member => member.name === name);
+  }
+
+  private async reconcileOnce(): Promise<void> {
+    const {control} = this.options;
+    await this.defineGroups();
+    await this.register();
+    for (const definition of this.definitions) {
+      if (!this.isMember(definition)) continue;
+      await this.reconcileGroup(definition);
+    }
+    for (const instance of control.state.instances()) {
+      const {name, incarnation} = instance;
+      for (const group of this.groups.values()) {
+        group.setRegistered({name, incarnation});
+      }
+    }
+  }
+
+  /** The leader of the control log writes the groups of its settings. */
+  private async defineGroups(): Promise<void> {
+    const {control} = this.options;
+    if (this.defined || control.role !== 'leader') return;
+    const missing = this.definitions.filter(
+      ({name}) => control.state.group(name) === undefined,
+    );
+    if (missing.length > 0) {
+      await control.propose({
+        type: 'define-groups',
+        groups: missing.map(({name, members}) => ({
+          group: name,
+          names: members.map(member => member.name),
+        })),
+        atMs: Date.now(),
+      });
+    }
+    this.defined = true;
+  }
+
+  private async register(): Promise<void> {
+    const {control, settings, incarnation} = this.options;
+    if (this.registered) return;
+    const address = settings.instances.find(
+      instance => instance.name === settings.name,
+    );
+    const result = await control.propose({
+      type: 'register-instance',
+      name: settings.name,
+      dataCentre: settings.dataCentre,
+      address: address?.address ?? settings.listen,
+      disk: settings.dataFolder !== '',
+      incarnation,
+      atMs: Date.now(),
+    });
+    this.registered = result.outcome !== 'invalid';
+  }
+
+  private async reconcileGroup(definition: GroupDefinition): Promise<void> {
+    const {control} = this.options;
+    const current = control.state.group(definition.name)?.current;
+    const running = this.groups.get(definition.name);
+    if (current === undefined || !this.registered) return;
+    if (running?.generation.generation === current.generation) {
+      await this.abandonIfStuck(running);
+      return;
+    }
+    if (this.abandoned.get(definition.name) === current.generation) return;
+    await running?.close();
+    await this.join(definition, current);
+  }
+
+  private async join(
+    definition: GroupDefinition,
+    generation: RecordGroup['generation'],
+  ): Promise<void> {
+    const {settings, network, owner, logger, onOwnership} = this.options;
+    const storage = await this.options.openStorage(
+      definition.name,
+      generation.generation,
+    );
+    const group = new RecordGroup({
+      definition,
+      generation,
+      self: this.self,
+      dataCentre: settings.dataCentre,
+      heartbeatMs: settings.heartbeatMs,
+      electionTimeoutMs: settings.electionTimeoutMs,
+      storage,
+      network,
+      logger,
+      owner,
+      onOwnership,
+    });
+    this.groups.set(definition.name, group);
+    await group.open();
+    logger.info('group-joined', {
+      group: definition.name,
+      generation: generation.generation,
+    });
+  }
+
+  /** Promises never to join a generation that seems to have no quorum left. */
+  private async abandonIfStuck(group: RecordGroup): Promise<void> {
+    const {control, settings, incarnation, logger} = this.options;
+    if (group.isVoter || group.leaderlessMs < ABANDON_AFTER_MS) return;
+    const {generation} = group.generation;
+    logger.warn('group-abandoned', {group: group.name, generation});
+    this.abandoned.set(group.name, generation);
+    this.groups.delete(group.name);
+    await group.close();
+    await control.propose({
+      type: 'abandon-group',
+      group: group.name,
+      generation,
+      instance: settings.name,
+      incarnation,
+      atMs: Date.now(),
+    });
+  }
+}
+
+/** Makes the incarnation of this life of the process. */
+export function newIncarnation(): string {
+  return randomUUID();
+}
--- /dev/null
+++ b/packages/entry/src/groups/record_group.ts
@@ -0,0 +1,219 @@
+/** Membership of this instance in one generation of a record group. */
+import {
+  type GrantedVoter,
+  type LogMessage,
+  type LogStorage,
+  type MemberId,
+  type RecordGroupGeneration,
+  type RecordsCommand,
+  type RecordsResult,
+  RecordsState,
+  ReplicatedLog,
+} from '@mustardferry/coordination';
+import {must} from '@mustardferry/model';
+import type {Logger} from '@mustardferry/runtime';
+
+import {JobOwner, type JobOwnerOptions} from '../jobs/job_owner.js';
+import {LogNetworkTransport} from '../peers/log_network_transport.js';
+import type {PeerNetwork} from '../peers/peer_network.js';
+import type {GroupDefinition} from './group_members.js';
+
+/** What an owner needs besides its group. */
+export type OwnerContext = Pick<
+  JobOwnerOptions,
+  'policy' | 'scheduler' | 'retentionMs' | 'explainStore' | 'metrics'
+>;
+
+/** Options of a membership. */
+export interface RecordGroupOptions {
+  readonly definition: GroupDefinition;
+  readonly generation: RecordGroupGeneration;
+  readonly self: MemberId;
+  readonly dataCentre: string;
+  readonly heartbeatMs: number;
+  readonly electionTimeoutMs: number;
+  readonly storage: LogStorage<RecordsCommand> | null;
+  readonly network: PeerNetwork;
+  readonly logger: Logger;
+  readonly owner: OwnerContext;
+  readonly onOwnership: () => void;
+}
+
+const EXPIRY_PERIOD_MS = 10_000;
+const LEASE_CHECK_MS = 20;
+const HAND_BACK_PERIOD_MS = 500;
+
+/** One replicated log of submission records, and its owner while leading. */
+export class RecordGroup {
+  readonly name: string;
+  readonly state = new RecordsState();
+  private log: ReplicatedLog<RecordsCommand, RecordsResult> | undefined;
+  private currentOwner: JobOwner | undefined;
+  private readonly timers: NodeJS.Timeout[] = [];
+  private leaseCheckedAt = 0;
+  private leaseHeld = false;
+  private lastLeaderAt = Date.now();
+
+  constructor(private readonly options: RecordGroupOptions) {
+    this.name = options.definition.name;
+  }
+
+  get generation(): RecordGroupGeneration {
+    return this.options.generation;
+  }
+
+  get definition(): GroupDefinition {
+    return this.options.definition;
+  }
+
+  /** The owner, while this instance leads and serves the group. */
+  get owner(): JobOwner | undefined {
+    return this.currentOwner;
+  }
+
+  /** Name of the leader as far as known. */
+  get leader(): string | undefined {
+    return this.log?.leader?.name;
+  }
+
+  get isVoter(): boolean {
+    return this.log !== undefined && this.log.status().role !== 'learner';
+  }
+
+  /** Milliseconds without a known leader; 0 while there is one. */
+  get leaderlessMs(): number {
+    if (this.leader !== undefined) this.lastLeaderAt = Date.now();
+    return Date.now() - this.lastLeaderAt;
+  }
+
+  async open(): Promise<void> {
+    const {options} = this;
+    const {definition, self, network, logger} = options;
+    this.log = await ReplicatedLog.open({
+      self,
+      voters: options.generation.voters.map((voter: GrantedVoter) => voter),
+      mode: 'in-memory',
+      storage: options.storage,
+      transport: new LogNetworkTransport(this.logName, self, network),
+      machine: this.state,
+      heartbeatMs: options.heartbeatMs,
+      electionTimeoutMs: options.electionTimeoutMs,
+      preferredLeader: definition.preferredLeader,
+      onFailure: err =>
+        logger.error('record-group-failed', {group: this.name, err}),
+    });
+    this.log.onLeadership(({leader, term}) => this.leadership(leader, term));
+    this.every(EXPIRY_PERIOD_MS, () => this.expire());
+    this.every(HAND_BACK_PERIOD_MS, () => this.handBack());
+  }
+
+  /** Name of the log in peer messages; generations never mix. */
+  get logName(): string {
+    return `${this.name}@${this.options.generation.generation}`;
+  }
+
+  receive(from: MemberId, message: unknown): void {
+    this.log?.receive(from, message as LogMessage<RecordsCommand>);
+  }
+
+  peerLost(peer: string): void {
+    this.log?.peerLost(peer);
+  }
+
+  /** Passes on that an incarnation is registered and may become a voter. */
+  setRegistered(member: MemberId): void {
+    this.log?.setRegistered(member);
+  }
+
+  /** Gives the leadership to another voter before a planned stop. */
+  handOver(): void {
+    this.log?.transferLeadership();
+  }
+
+  /** Whether this instance still leads. */
+  get leads(): boolean {
+    return this.log?.status().role === 'leader';
+  }
+
+  async close(): Promise<void> {
+    for (const timer of this.timers) clearInterval(timer);
+    this.currentOwner?.release();
+    this.currentOwner = undefined;
+    await this.log?.close();
+  }
+
+  private leadership(leader: boolean, term: number): void {
+    const {options} = this;
+    options.logger.info('group-leadership', {group: this.name, leader, term});
+    this.currentOwner?.release();
+    this.currentOwner = undefined;
+    // The voter lent by a neighbour keeps records but serves no jobs.
+    if (leader && options.definition.dataCentre === options.dataCentre) {
+      this.currentOwner = this.createOwner(term);
+      this.currentOwner.takeOver();
+    }
+    options.onOwnership();
+  }
+
+  private createOwner(term: number): JobOwner {
+    const {options} = this;
+    const log = must(this.log, 'leadership without a log');
+    this.leaseCheckedAt = 0;
+    return new JobOwner({
+      ...options.owner,
+      group: this.name,
+      epoch: {
+        group: this.name,
+        generation: options.generation.generation,
+        term,
+      },
+      state: this.state,
+      propose: (command, how) => log.propose(command, how),
+      holdsLease: () => this.holdsLease(),
+      hasDurableStorage: () =>
+        options.definition.members.some(
+          ({name, disk}) =>
+            disk && (name === options.self.name || options.network.isUp(name)),
+        ),
+      logger: options.logger,
+    });
+  }
+
+  /** Asked for each start, so the answer is kept for a few milliseconds. */
+  private holdsLease(): boolean {
+    const now = Date.now();
+    if (now - this.leaseCheckedAt >= LEASE_CHECK_MS) {
+      this.leaseCheckedAt = now;
+      const leaseMs = this.log?.status().leaseMs ?? 0;
+      this.leaseHeld = leaseMs > LEASE_CHECK_MS;
+    }
+    return this.leaseHeld;
+  }
+
+  private expire(): void {
+    if (this.currentOwner === undefined) return;
+    void this.log
+      ?.propose({type: 'expire', beforeMs: Date.now()})
+      .catch(() => undefined);
+  }
+
+  /** A lent voter that had to lead returns the group to its data centre. */
+  private handBack(): void {
+    const {definition, dataCentre, network} = this.options;
+    if (!this.leads || definition.dataCentre === dataCentre) return;
+    const status = this.log?.status();
+    const local = status?.voters.find(voter =>
+      definition.members.some(
+        member =>
+          member.name === voter.name &&
+          member.dataCentre === definition.dataCentre &&
+          network.isUp(member.name),
+      ),
+    );
+    if (local !== undefined) this.log?.transferLeadership(local);
+  }
+
+  private every(periodMs: number, run: () => void): void {
+    this.timers.push(setInterval(run, periodMs));
+  }
+}
--- /dev/null
+++ b/packages/entry/src/instance_parts.ts
@@ -0,0 +1,209 @@
+/** Creates the parts of an instance and connects their events. */
+import type {InstanceStatus} from '@mustardferry/links';
+import type {InstanceSettings, InstanceView} from '@mustardferry/model';
+import type {LifecycleManager, Logger, Metrics} from '@mustardferry/runtime';
+
+import {ControlService} from './control/control_service.js';
+import {createDispatch, type DispatchParts} from './dispatch/dispatch_parts.js';
+import {OwnerDirectory} from './gateway/owner_directory.js';
+import {GroupService, newIncarnation} from './groups/group_service.js';
+import {ExplainStore} from './jobs/explain_store.js';
+import {PeerNetwork} from './peers/peer_network.js';
+import {SlotService} from './slots/slot_service.js';
+import type {InstanceStorage} from './storage/instance_storage.js';
+import {UpstreamPool} from './upstreams/upstream_pool.js';
+import {UpstreamService} from './upstreams/upstream_service.js';
+
+/** What the parts are made from. */
+export interface InstancePartsOptions {
+  readonly settings: InstanceSettings;
+  readonly storage: InstanceStorage;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly isDraining: () => boolean;
+}
+
+const STATUS_PERIOD_MS = 5_000;
+
+/** Parts of one instance; they refer to each other by events only. */
+export class InstanceParts {
+  readonly incarnation = newIncarnation();
+  readonly directory: OwnerDirectory;
+  readonly network: PeerNetwork;
+  readonly control: ControlService;
+  readonly pool: UpstreamPool;
+  readonly dispatch: DispatchParts;
+  readonly slots: SlotService;
+  readonly groups: GroupService;
+  readonly upstreams: UpstreamService;
+
+  constructor(private readonly options: InstancePartsOptions) {
+    this.directory = new OwnerDirectory(options.settings.instances);
+    this.network = this.createNetwork();
+    this.control = this.createControl();
+    this.pool = this.createPool();
+    this.dispatch = this.createDispatch();
+    this.slots = this.createSlots();
+    this.groups = this.createGroups();
+    this.upstreams = this.createUpstreams();
+  }
+
+  /** Hands all parts to a life-cycle manager, dependencies first. */
+  ownedBy(lifecycle: LifecycleManager): void {
+    lifecycle.own(this.pool);
+    lifecycle.own(this.network);
+    lifecycle.own(this.control);
+    lifecycle.defer('dispatch', () => this.dispatch.close());
+    lifecycle.own(this.groups);
+    lifecycle.own(this.slots);
+    lifecycle.own(this.upstreams);
+    lifecycle.every('status', STATUS_PERIOD_MS, () =>
+      this.network.broadcastStatus(),
+    );
+  }
+
+  /** Status of this instance, for its peers. */
+  status(): InstanceStatus {
+    const {name, dataCentre} = this.options.settings;
+    return {
+      name,
+      incarnation: this.incarnation,
+      dataCentre,
+      draining: this.options.isDraining(),
+      policyRevision: this.control.policy.revision,
+      controlRole: this.control.role,
+      ownedGroups: this.groups.ownedGroups,
+    };
+  }
+
+  /** All instances of the deployment as known here. */
+  instanceViews(): readonly InstanceView[] {
+    const {settings} = this.options;
+    return settings.instances.map(({name, dataCentre, address}) => {
+      const self = name === settings.name;
+      const status = self ? this.status() : this.network.statusOf(name);
+      return {
+        name,
+        dataCentre,
+        address,
+        reachable: self || this.network.isUp(name),
+        draining: status?.draining ?? false,
+        policyRevision: status?.policyRevision ?? 0,
+        controlRole: status?.controlRole ?? 'learner',
+        ownedGroups: status?.ownedGroups ?? [],
+      };
+    });
+  }
+
+  private get localInstances(): readonly string[] {
+    const {instances, dataCentre} = this.options.settings;
+    return instances
+      .filter(instance => instance.dataCentre === dataCentre)
+      .map(({name}) => name);
+  }
+
+  private createNetwork(): PeerNetwork {
+    return new PeerNetwork({
+      ...this.options,
+      status: () => this.status(),
+      onStatus: status => {
+        this.directory.learn(status.name, status.ownedGroups);
+        this.upstreams.peerUp(status.name);
+      },
+      onPeerDown: peer => {
+        this.directory.learn(peer, []);
+        this.control.peerLost(peer);
+        this.groups.peerLost(peer);
+      },
+    });
+  }
+
+  private createControl(): ControlService {
+    return new ControlService({
+      ...this.options,
+      network: this.network,
+      storage: this.options.storage.control,
+      onChange: () => this.controlChanged(),
+    });
+  }
+
+  private createPool(): UpstreamPool {
+    return new UpstreamPool({
+      token: this.options.settings.tokens.upstreams[0],
+      instancesInDataCentre: this.localInstances.length,
+    });
+  }
+
+  private createDispatch(): DispatchParts {
+    return createDispatch({
+      ...this.options,
+      pool: this.pool,
+      policy: () => this.control.policy,
+      slots: {
+        use: worker => this.slots.use(worker),
+        free: worker => this.slots.free(worker),
+      },
+    });
+  }
+
+  private createSlots(): SlotService {
+    const {settings, logger} = this.options;
+    return new SlotService({
+      self: {name: settings.name, incarnation: this.incarnation},
+      instances: this.localInstances,
+      network: this.network,
+      pool: this.pool,
+      sharing: this.dispatch.sharing,
+      leaseMs: settings.taskLeaseMs,
+      allocatorName: () => this.groups.leaderOf(`${settings.dataCentre}.0`),
+      wake: () => this.dispatch.scheduler.wake(),
+      logger,
+    });
+  }
+
+  private createGroups(): GroupService {
+    const {settings, storage, metrics} = this.options;
+    return new GroupService({
+      ...this.options,
+      incarnation: this.incarnation,
+      control: this.control,
+      network: this.network,
+      owner: {
+        policy: () => this.control.policy,
+        scheduler: this.dispatch.scheduler,
+        retentionMs: settings.recordRetentionMs,
+        explainStore: new ExplainStore(),
+        metrics,
+      },
+      openStorage: (group, generation) =>
+        storage.openGroup(group, generation, this.incarnation),
+      onOwnership: () => this.ownershipChanged(),
+    });
+  }
+
+  private createUpstreams(): UpstreamService {
+    return new UpstreamService({
+      ...this.options,
+      network: this.network,
+      pool: this.pool,
+      slots: this.slots,
+      wake: () => this.dispatch.scheduler.wake(),
+    });
+  }
+
+  private controlChanged(): void {
+    const {policy} = this.control;
+    this.dispatch.setPolicy(policy);
+    this.slots.setPolicy(policy);
+    this.groups.reconcile();
+    this.network.broadcastStatus();
+  }
+
+  private ownershipChanged(): void {
+    const {name, dataCentre} = this.options.settings;
+    const owned = this.groups.ownedGroups;
+    this.directory.learn(name, owned);
+    this.slots.setAllocating(owned.includes(`${dataCentre}.0`));
+    this.network.broadcastStatus();
+  }
+}
--- /dev/null
+++ b/packages/entry/src/jobs/job_admission.ts
@@ -0,0 +1,157 @@
+/** Admits submissions to a record group. */
+import type {
+  AdmitCommand,
+  AdmitResult,
+  RecordsCommand,
+  RecordsResult,
+  RecordsState,
+} from '@mustardferry/coordination';
+import type {OwnerReply, SubmitToOwner} from '@mustardferry/links';
+import type {
+  KindPolicy,
+  Policy,
+  Problem,
+  TeamPolicy,
+} from '@mustardferry/model';
+
+import {problem} from '../http/problems.js';
+import {
+  conflictReply,
+  notOwnerReply,
+  problemReply,
+  unknownKindReply,
+} from './owner_replies.js';
+import type {TaskScheduler} from './task_scheduler.js';
+
+/** A team with one of its kinds. */
+export interface TeamKind {
+  readonly team: TeamPolicy;
+  readonly kind: KindPolicy;
+}
+
+/** Options of admission. */
+export interface JobAdmissionOptions {
+  readonly state: RecordsState;
+  readonly propose: (command: RecordsCommand) => Promise<RecordsResult>;
+  readonly policy: () => Policy;
+  readonly scheduler: TaskScheduler;
+  /** Time in milliseconds that records are kept after admission. */
+  readonly retentionMs: number;
+  /** Whether the group has a reachable member with synced storage. */
+  readonly hasDurableStorage: () => boolean;
+}
+
+/** An admitted job, or the reply that ends the request. */
+export type Admitted =
+  | {readonly type: 'admitted'; readonly found: TeamKind}
+  | {readonly type: 'reply'; readonly reply: OwnerReply};
+
+/** Finds a kind in a configuration. */
+export function findTeamKind(
+  policy: Policy,
+  teamName: string,
+  kindName: string,
+): TeamKind | undefined {
+  const team = policy.teams.find(candidate => candidate.team === teamName);
+  const kind = team?.kinds.find(candidate => candidate.kind === kindName);
+  if (team === undefined || kind === undefined) return undefined;
+  return {team, kind};
+}
+
+/** Checks limits and records the admission. */
+export class JobAdmission {
+  constructor(private readonly options: JobAdmissionOptions) {}
+
+  /** Admits a submission that has no record yet. */
+  async admit(req: SubmitToOwner): Promise<Admitted> {
+    const {jobId, submission} = req;
+    const {team, kind} = submission;
+    const policy = this.options.policy();
+    const found = findTeamKind(policy, team, kind);
+    if (found === undefined) {
+      return {
+        type: 'reply',
+        reply: unknownKindReply(jobId, policy, team, kind),
+      };
+    }
+    const refusal = this.refusal(req, found);
+    if (refusal !== undefined) {
+      return {type: 'reply', reply: {type: 'problem', jobId, problem: refusal}};
+    }
+    const result = await this.options.propose(this.command(req, found));
+    if (result.type !== 'admit') {
+      return {type: 'reply', reply: notOwnerReply(jobId)};
+    }
+    return this.interpret(jobId, result, found);
+  }
+
+  private command(req: SubmitToOwner, {kind}: TeamKind): AdmitCommand {
+    const {jobId, submission, digest} = req;
+    const atMs = Date.now();
+    return {
+      type: 'admit',
+      jobId,
+      team: submission.team,
+      kind: submission.kind,
+      idempotencyKey: submission.idempotencyKey,
+      digest,
+      repeatable: kind.repeatable,
+      tasks: submission.tasks,
+      ...(submission.deadlineMs === undefined
+        ? {}
+        : {deadlineMs: submission.deadlineMs}),
+      atMs,
+      keepUntilMs: atMs + this.options.retentionMs,
+      ...(req.keyGeneratedAtMs === undefined
+        ? {}
+        : {keyGeneratedAtMs: req.keyGeneratedAtMs}),
+    };
+  }
+
+  private refusal(req: SubmitToOwner, found: TeamKind): Problem | undefined {
+    if (!found.kind.repeatable && !this.options.hasDurableStorage()) {
+      return problem(
+        'no-durable-storage',
+        'No instance with a disk is reachable in the record group.',
+        {jobId: req.jobId, retryAfterSeconds: 1},
+      );
+    }
+    return this.options.scheduler.admit({
+      jobId: req.jobId,
+      job: found,
+      tasks: req.submission.tasks,
+    });
+  }
+
+  private interpret(
+    jobId: string,
+    result: AdmitResult,
+    found: TeamKind,
+  ): Admitted {
+    switch (result.outcome) {
+      case 'joined':
+      case 'admitted':
+        return {type: 'admitted', found};
+      case 'conflict':
+        return {type: 'reply', reply: conflictReply(jobId)};
+      case 'full':
+        return {
+          type: 'reply',
+          reply: problemReply(
+            jobId,
+            'queue-full',
+            'The group holds its maximum number of records.',
+          ),
+        };
+      case 'unknown':
+        return {
+          type: 'reply',
+          reply: problemReply(
+            jobId,
+            'owner-unknown',
+            'An earlier admission of this job may have been lost.',
+          ),
+        };
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/jobs/job_owner.ts
@@ -0,0 +1,298 @@
+/** Ownership of the submissions of one record group during one leadership. */
+import type {
+  RecordsCommand,
+  RecordsResult,
+  RecordsState,
+  StartItem,
+  StartResult,
+} from '@mustardferry/coordination';
+import type {
+  ExplainReply,
+  OwnerReply,
+  SubmitToOwner,
+} from '@mustardferry/links';
+import type {
+  ExplainStep,
+  JobAnswer,
+  OwnerEpoch,
+  Policy,
+} from '@mustardferry/model';
+import type {Logger, Metrics} from '@mustardferry/runtime';
+
+import type {ExplainStore} from './explain_store.js';
+import {type Admitted, findTeamKind, JobAdmission} from './job_admission.js';
+import {JobDeadlines} from './job_deadlines.js';
+import {recordAnswer} from './job_settlement.js';
+import {scheduleTasks} from './job_tasks.js';
+import {viewOf} from './job_views.js';
+import {OwnershipLostError} from './owner_errors.js';
+import {conflictReply, noRecordReply, notOwnerReply} from './owner_replies.js';
+import {PendingAdmissions} from './pending_admissions.js';
+import {type JobFailure, RunningJob} from './running_job.js';
+import {JobOwnership, type TaskScheduler} from './task_scheduler.js';
+
+/** Proposes commands to the record group. */
+export type ProposeRecords = (
+  command: RecordsCommand,
+  options?: {readonly durable?: boolean},
+) => Promise<RecordsResult>;
+
+/** Options of an owner. */
+export interface JobOwnerOptions {
+  readonly group: string;
+  readonly epoch: OwnerEpoch;
+  readonly state: RecordsState;
+  readonly propose: ProposeRecords;
+  readonly policy: () => Policy;
+  readonly scheduler: TaskScheduler;
+  /** Time in milliseconds that records are kept after admission. */
+  readonly retentionMs: number;
+  /** Whether the leader lease still holds, so that no other owner acts. */
+  readonly holdsLease: () => boolean;
+  /** Whether the group has a member with synced storage. */
+  readonly hasDurableStorage: () => boolean;
+  readonly explainStore: ExplainStore;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+/** Admits, runs and answers the jobs of a record group. */
+export class JobOwner extends JobOwnership {
+  private readonly jobs = new Map<string, RunningJob>();
+  private readonly admitting = new PendingAdmissions();
+  private readonly deadlines = new JobDeadlines(job =>
+    this.jobFailed(job, {
+      code: 'deadline-exceeded',
+      detail: 'The deadline passed before all results were in.',
+    }),
+  );
+  private readonly admission: JobAdmission;
+  private released = false;
+
+  constructor(private readonly options: JobOwnerOptions) {
+    super();
+    this.admission = new JobAdmission({
+      ...options,
+      propose: command => this.propose(command),
+    });
+  }
+
+  override get epoch(): OwnerEpoch {
+    return this.options.epoch;
+  }
+
+  override get active(): boolean {
+    return !this.released && this.options.holdsLease();
+  }
+
+  /** Number of jobs that are not answered yet. */
+  get openJobs(): number {
+    return this.jobs.size + this.admitting.size;
+  }
+
+  /** Takes over the unfinished jobs of earlier owners. */
+  takeOver(): void {
+    for (const record of this.options.state.unfinished()) {
+      const found = findTeamKind(
+        this.options.policy(),
+        record.team,
+        record.kind,
+      );
+      if (found === undefined) {
+        void this.record(record.jobId, {
+          outcome: 'unknown',
+          jobId: record.jobId,
+          code: 'unknown-kind',
+          detail: 'The kind left the configuration during a failover.',
+        });
+        continue;
+      }
+      const job = new RunningJob({record, ...found, takenOver: true});
+      this.jobs.set(job.jobId, job);
+      this.explain(job, '', 'taken-over', 'owner-failover');
+      this.dispatchAll(job);
+    }
+  }
+
+  /** Ends this ownership: waits end, nothing is started any more. */
+  release(): void {
+    this.released = true;
+    this.deadlines.clearAll();
+    for (const job of this.jobs.values()) {
+      const lost = job.fail({code: 'owner-unknown', detail: 'owner changed'});
+      if (lost !== undefined) this.options.scheduler.cancel(job, lost);
+      job.release();
+    }
+    this.jobs.clear();
+  }
+
+  /** Handles a submission; joins a job that is known under its id. */
+  async submit(req: SubmitToOwner): Promise<OwnerReply> {
+    const {jobId, digest} = req;
+    const known = this.options.state.get(jobId);
+    if (known !== undefined) {
+      if (known.digest !== digest) return conflictReply(jobId);
+      return this.reply(jobId, req.waitMs);
+    }
+    const pending = this.admitting.join(jobId, digest, () => this.admit(req));
+    if (pending.digest !== digest) return conflictReply(jobId);
+    const result = await pending.admitted;
+    if (result.type === 'reply') return result.reply;
+    return this.reply(jobId, req.waitMs);
+  }
+
+  /** Replies with the state of a job after at most `waitMs`. */
+  async reply(jobId: string, waitMs: number): Promise<OwnerReply> {
+    const job = this.jobs.get(jobId);
+    if (job !== undefined) {
+      const answer = await job.wait(waitMs);
+      if (this.released && answer === undefined) return notOwnerReply(jobId);
+      return {
+        type: 'job',
+        jobId,
+        view: viewOf(job.record, answer, job.mayHaveStarted),
+      };
+    }
+    if (this.released) return notOwnerReply(jobId);
+    const record = this.options.state.get(jobId);
+    if (record === undefined)
+      return noRecordReply(jobId, this.options.state, Date.now());
+    return {
+      type: 'job',
+      jobId,
+      view: viewOf(record, record.answer, record.starts.length > 0),
+    };
+  }
+
+  /** Cancels a job; its answer says whether any task may have run. */
+  async cancel(jobId: string, waitMs: number): Promise<OwnerReply> {
+    const job = this.jobs.get(jobId);
+    if (job !== undefined) {
+      this.jobFailed(job, {
+        code: 'cancelled',
+        detail: 'The client cancelled the job.',
+      });
+    }
+    return this.reply(jobId, waitMs);
+  }
+
+  /** Steps in the life of a job, while they are kept. */
+  explainJob(jobId: string): ExplainReply {
+    const steps: readonly ExplainStep[] | undefined =
+      this.jobs.get(jobId)?.steps ?? this.options.explainStore.get(jobId);
+    if (steps !== undefined) return {type: 'steps', jobId, steps};
+    return noRecordReply(jobId, this.options.state, Date.now());
+  }
+
+  override async recordStarts(
+    starts: readonly StartItem[],
+  ): Promise<readonly StartResult[]> {
+    const result = await this.propose({type: 'start', starts}, true);
+    return result.type === 'start' ? result.results : [];
+  }
+
+  override async recordSeal(
+    jobId: string,
+    taskIndex: number,
+    attempt: number,
+  ): Promise<void> {
+    await this.propose({type: 'seal', jobId, taskIndex, attempt}, true);
+  }
+
+  override taskCompleted(job: RunningJob, index: number, value: unknown): void {
+    const answer = job.complete(index, value);
+    if (answer !== undefined) void this.settle(job, answer);
+  }
+
+  override jobFailed(job: RunningJob, failure: JobFailure): void {
+    const answer = job.fail(failure);
+    if (answer === undefined) return;
+    const step = failure.code === 'cancelled' ? 'cancelled' : 'refused';
+    this.explain(job, '', step, failure.code);
+    this.options.scheduler.cancel(job, answer);
+    void this.settle(job, answer);
+  }
+
+  private async admit(req: SubmitToOwner): Promise<Admitted> {
+    const admitted = await this.admission.admit(req);
+    if (admitted.type === 'reply') return admitted;
+    const {jobId} = req;
+    const record = this.options.state.get(jobId);
+    if (record === undefined || this.released) {
+      return {type: 'reply', reply: notOwnerReply(jobId)};
+    }
+    if (this.jobs.has(jobId) || record.answer !== undefined) return admitted;
+    const job = new RunningJob({
+      record,
+      ...admitted.found,
+      takenOver: false,
+    });
+    this.jobs.set(jobId, job);
+    this.options.metrics.increment('jobs.admitted', 1, {team: record.team});
+    this.explain(job, '', 'admitted', 'admitted');
+    this.dispatchAll(job);
+    return admitted;
+  }
+
+  private dispatchAll(job: RunningJob): void {
+    this.deadlines.arm(job);
+    scheduleTasks(job, this, this.options.scheduler);
+  }
+
+  private async settle(job: RunningJob, answer: JobAnswer): Promise<void> {
+    this.deadlines.clear(job.jobId);
+    const stored = await this.record(job.jobId, answer);
+    if (stored === undefined) {
+      job.release();
+      return;
+    }
+    this.explain(job, '', 'answered', stored.outcome);
+    this.options.explainStore.put(job.jobId, job.steps);
+    this.options.metrics.increment('jobs.answered', 1, {
+      team: job.record.team,
+      outcome: stored.outcome,
+    });
+    this.options.metrics.timing(
+      'jobs.response_ms',
+      Date.now() - job.record.admittedAtMs,
+      {team: job.record.team, kind: job.record.kind},
+    );
+    this.jobs.delete(job.jobId);
+    job.publish(stored);
+  }
+
+  private record(
+    jobId: string,
+    answer: JobAnswer,
+  ): Promise<JobAnswer | undefined> {
+    const propose = (command: RecordsCommand): Promise<RecordsResult> =>
+      this.propose(command);
+    return recordAnswer(propose, jobId, answer, this.options.logger);
+  }
+
+  private async propose(
+    command: RecordsCommand,
+    durable = false,
+  ): Promise<RecordsResult> {
+    if (this.released) {
+      throw new OwnershipLostError(`${this.options.group}: ownership ended`);
+    }
+    try {
+      return await this.options.propose(command, {durable});
+    } catch (err) {
+      throw new OwnershipLostError(
+        `${this.options.group}: ${command.type} was not recorded`,
+        {cause: err},
+      );
+    }
+  }
+
+  private explain(
+    job: RunningJob,
+    taskId: string,
+    step: ExplainStep['step'],
+    reason: string,
+  ): void {
+    job.explain({atMs: Date.now(), taskId, step, reason, detail: ''});
+  }
+}
--- /dev/null
+++ b/packages/entry/src/jobs/job_settlement.ts
@@ -0,0 +1,34 @@
+/** Replicates the answers of jobs before anyone is told. */
+import type {RecordsCommand, RecordsResult} from '@mustardferry/coordination';
+import type {JobAnswer} from '@mustardferry/model';
+import type {Logger} from '@mustardferry/runtime';
+
+/**
+ * Records an answer and returns the one that is stored, which may be an
+ * earlier one; undefined when this ownership ended before.
+ */
+export async function recordAnswer(
+  propose: (command: RecordsCommand) => Promise<RecordsResult>,
+  jobId: string,
+  answer: JobAnswer,
+  logger: Logger,
+): Promise<JobAnswer | undefined> {
+  try {
+    const atMs = Date.now();
+    const result = await propose({type: 'finish', jobId, answer, atMs});
+    if (result.type !== 'finish') return undefined;
+    if (result.outcome === 'finished') return answer;
+    if (result.outcome === 'already-finished') return result.answer;
+    if (result.reason === 'task-started' && answer.outcome === 'not-run') {
+      // A start was recorded before the job ended; it was perhaps never sent,
+      // but `not-run` can no longer be proved.
+      const failed: JobAnswer = {...answer, outcome: 'failed'};
+      return await recordAnswer(propose, jobId, failed, logger);
+    }
+    logger.error('job-finish-refused', {jobId, reason: result.reason});
+    return undefined;
+  } catch (err) {
+    logger.info('job-finish-not-recorded', {jobId, err});
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/jobs/job_tasks.ts
@@ -0,0 +1,31 @@
+/** Hands the tasks of a job to the scheduler. */
+import type {RunningJob} from './running_job.js';
+import type {JobOwnership, TaskScheduler} from './task_scheduler.js';
+
+/**
+ * Attempts of different owners never share a number: each leadership counts
+ * from its own base, and an upstream runs each number at most once.
+ */
+const ATTEMPTS_PER_TERM = 1_000;
+
+/**
+ * Schedules all tasks. A task that must not be repeated and has a start on
+ * record is resumed instead: its upstream is asked what became of it.
+ */
+export function scheduleTasks(
+  job: RunningJob,
+  owner: JobOwnership,
+  scheduler: TaskScheduler,
+): void {
+  const nextAttempt = owner.epoch.term * ATTEMPTS_PER_TERM + 1;
+  const begun = new Set(
+    job.record.starts
+      .filter(start => !start.sealed)
+      .map(start => start.taskIndex),
+  );
+  job.record.tasks.forEach((_task, index) => {
+    const task = {job, owner, index, nextAttempt};
+    if (!job.kind.repeatable && begun.has(index)) scheduler.resume(task);
+    else scheduler.schedule(task);
+  });
+}
--- /dev/null
+++ b/packages/entry/src/jobs/owner_replies.ts
@@ -0,0 +1,66 @@
+/** Replies of an owner other than a job's view. */
+import type {RecordsState} from '@mustardferry/coordination';
+import type {OwnerReply} from '@mustardferry/links';
+import type {Policy} from '@mustardferry/model';
+
+import {problem, type ProblemCode} from '../http/problems.js';
+
+type ProblemReply = Extract<OwnerReply, {type: 'problem'}>;
+
+/** A problem as a reply about one job. */
+export function problemReply(
+  jobId: string,
+  code: ProblemCode,
+  detail: string,
+): ProblemReply {
+  return {type: 'problem', jobId, problem: problem(code, detail, {jobId})};
+}
+
+/** Another body was submitted under the key. */
+export function conflictReply(jobId: string): ProblemReply {
+  return problemReply(
+    jobId,
+    'key-conflict',
+    'Another body was submitted under this key.',
+  );
+}
+
+/** This instance does not own the job, or no longer. */
+export function notOwnerReply(
+  jobId: string,
+): Extract<OwnerReply, {type: 'not-owner'}> {
+  return {type: 'not-owner', jobId, owner: undefined};
+}
+
+/** The team or the kind is not configured. */
+export function unknownKindReply(
+  jobId: string,
+  policy: Policy,
+  team: string,
+  kind: string,
+): ProblemReply {
+  const known = policy.teams.some(candidate => candidate.team === team);
+  return known
+    ? problemReply(jobId, 'unknown-kind', `Team ${team} has no ${kind}.`)
+    : problemReply(jobId, 'unknown-team', `No answers for ${team}.`);
+}
+
+/** No record of the job; whether it may have existed depends on the group. */
+export function noRecordReply(
+  jobId: string,
+  state: RecordsState,
+  now: number,
+): ProblemReply {
+  if (state.lookup(jobId, now).state === 'unknown') {
+    return problemReply(
+      jobId,
+      'owner-unknown',
+      'The record may have been lost with a majority of its replicas.',
+    );
+  }
+  return problemReply(
+    jobId,
+    'job-not-found',
+    'The job was never admitted, or its retention time has ended.',
+  );
+}
--- /dev/null
+++ b/packages/entry/src/peers/peer_network.ts
@@ -0,0 +1,155 @@
+/** Links to all other instances, and batching of log messages. */
+import {
+  type InstanceStatus,
+  type LogEnvelope,
+  type PeerClient,
+  type PeerIdentity,
+  PeerLink,
+  PeerUnreachableError,
+} from '@mustardferry/links';
+import type {InstanceSettings} from '@mustardferry/model';
+import type {Logger} from '@mustardferry/runtime';
+
+/** Options of the network. */
+export interface PeerNetworkOptions {
+  readonly settings: InstanceSettings;
+  readonly status: () => InstanceStatus;
+  readonly onStatus: (status: InstanceStatus) => void;
+  readonly onPeerDown: (peer: string) => void;
+  readonly logger: Logger;
+}
+
+/** Log messages waiting for one peer; more are dropped, as a network may. */
+const MAX_OUTBOX = 1_000;
+const MESSAGE_TIMEOUT_MS = 2_000;
+const PING_AFTER_MS = 1_000;
+const PONG_TIMEOUT_MS = 1_000;
+
+/** One peer with the messages that wait for it. */
+class Peer {
+  readonly link: PeerLink;
+  outbox: LogEnvelope[] = [];
+  flushing = false;
+  status: InstanceStatus | undefined;
+
+  constructor(link: PeerLink) {
+    this.link = link;
+  }
+}
+
+/** Owns the links of an instance. */
+export class PeerNetwork {
+  readonly name = 'peer-network';
+  private readonly peers = new Map<string, Peer>();
+
+  constructor(private readonly options: PeerNetworkOptions) {}
+
+  /** Opens the links; they reconnect by themselves from then on. */
+  open(): void {
+    const {settings} = this.options;
+    for (const {name, address} of settings.instances) {
+      if (name === settings.name) continue;
+      const link = new PeerLink({
+        peer: name,
+        address,
+        token: settings.tokens.instances[0],
+        pingAfterMs: PING_AFTER_MS,
+        pongTimeoutMs: PONG_TIMEOUT_MS,
+        onUp: () => void this.greet(name),
+        onDown: () => this.peerDown(name),
+      });
+      this.peers.set(name, new Peer(link));
+    }
+  }
+
+  /** Status of a peer as last received. */
+  statusOf(peer: string): InstanceStatus | undefined {
+    return this.peers.get(peer)?.status;
+  }
+
+  isUp(peer: string): boolean {
+    return this.peers.get(peer)?.link.isUp ?? false;
+  }
+
+  /** Records a status that a peer sent by itself. */
+  noteStatus(status: InstanceStatus): void {
+    const peer = this.peers.get(status.name);
+    if (peer === undefined) return;
+    peer.status = status;
+    this.options.onStatus(status);
+  }
+
+  /** Tells all peers that this instance's status changed. */
+  broadcastStatus(): void {
+    for (const [name, peer] of this.peers) {
+      if (peer.link.isUp) void this.greet(name);
+    }
+  }
+
+  /** Sends a log message without waiting; it may be lost. */
+  sendLog(envelope: LogEnvelope): void {
+    const peer = this.peers.get(envelope.to.name);
+    if (peer === undefined || !peer.link.isUp) return;
+    if (peer.outbox.length >= MAX_OUTBOX) return;
+    peer.outbox.push(envelope);
+    if (peer.flushing) return;
+    peer.flushing = true;
+    // Messages of one turn of the event loop share one frame.
+    setImmediate(() => this.flush(peer));
+  }
+
+  /**
+   * Calls a peer.
+   *
+   * @throws PeerUnreachableError, PeerTimeoutError, PeerRemoteError.
+   */
+  call<T>(
+    peer: string,
+    timeoutMs: number,
+    run: (client: PeerClient, signal: AbortSignal) => Promise<T>,
+  ): Promise<T> {
+    const found = this.peers.get(peer);
+    if (found === undefined) {
+      return Promise.reject(new PeerUnreachableError(`no peer named ${peer}`));
+    }
+    return found.link.call(timeoutMs, run);
+  }
+
+  async close(): Promise<void> {
+    await Promise.all([...this.peers.values()].map(peer => peer.link.close()));
+  }
+
+  private flush(peer: Peer): void {
+    peer.flushing = false;
+    const batch = peer.outbox;
+    peer.outbox = [];
+    void peer.link
+      .call(MESSAGE_TIMEOUT_MS, (client, signal) =>
+        client.logMessages.mutate(batch, {signal}),
+      )
+      .catch((err: unknown) =>
+        this.options.logger.debug('log-messages-lost', {err}),
+      );
+  }
+
+  private async greet(name: string): Promise<void> {
+    try {
+      const status = await this.call(name, MESSAGE_TIMEOUT_MS, client =>
+        client.hello.mutate(this.options.status()),
+      );
+      this.noteStatus(status);
+    } catch (err) {
+      this.options.logger.debug('greeting-failed', {peer: name, err});
+    }
+  }
+
+  private peerDown(name: string): void {
+    this.options.logger.info('peer-down', {peer: name});
+    this.options.onPeerDown(name);
+  }
+}
+
+/** Stable text form of a peer identity. */
+export function peerKey(peer: PeerIdentity): string {
+  return `${peer.name}#${peer.incarnation}`;
+}
--- /dev/null
+++ b/packages/entry/src/slots/slot_service.ts
@@ -0,0 +1,219 @@
+/** Slot credits of this instance, and the allocator while it leads group 0. */
+import {CreditLedger, type SharingPolicy} from '@mustardferry/decisions';
+import type {PeerIdentity, SlotReply, SlotReport} from '@mustardferry/links';
+import {
+  addResources,
+  NO_RESOURCES,
+  type Policy,
+  type Resources,
+  type UpstreamAnnouncement,
+  upstreamKey,
+} from '@mustardferry/model';
+import type {Logger} from '@mustardferry/runtime';
+
+import type {PeerNetwork} from '../peers/peer_network.js';
+import type {UpstreamPool} from '../upstreams/upstream_pool.js';
+import {SlotAllocatorService} from './slot_allocator_service.js';
+
+/** Options of the service. */
+export interface SlotServiceOptions {
+  readonly self: PeerIdentity;
+  readonly instances: readonly string[];
+  readonly network: PeerNetwork;
+  readonly pool: UpstreamPool;
+  readonly sharing: SharingPolicy;
+  readonly leaseMs: number;
+  /** The instance that leads record group 0 of this data centre. */
+  readonly allocatorName: () => string | undefined;
+  readonly wake: () => void;
+  readonly logger: Logger;
+}
+
+const MIN_REPORT_INTERVAL_MS = 50;
+const MAX_REPORT_INTERVAL_MS = 1_000;
+const REPORT_TIMEOUT_MS = 500;
+
+/** Reports demand, applies grants, returns credits. */
+export class SlotService {
+  readonly name = 'slot-service';
+  private readonly ledger = new CreditLedger();
+  private readonly workers = new Map<string, UpstreamAnnouncement>();
+  private allocator: SlotAllocatorService | undefined;
+  private policy: Policy | undefined;
+  private sequence = 0;
+  private appliedReply = 0;
+  private repliedBy = '';
+  private reportedAtMs = 0;
+  private lastDemand = '';
+  private reporting = false;
+  private readonly timer: NodeJS.Timeout;
+
+  constructor(private readonly options: SlotServiceOptions) {
+    this.timer = setInterval(() => this.tick(), MIN_REPORT_INTERVAL_MS);
+  }
+
+  /** Credits held, for views. */
+  heldFor(worker: string): number {
+    return this.ledger.of(worker).held;
+  }
+
+  /** Starts or stops allocating, as ownership of group 0 changes. */
+  setAllocating(allocating: boolean): void {
+    if (!allocating) {
+      this.allocator = undefined;
+      return;
+    }
+    if (this.allocator !== undefined) return;
+    const {self, instances, network, leaseMs} = this.options;
+    this.allocator = new SlotAllocatorService(
+      {
+        self: self.name,
+        instances,
+        isUp: name => network.isUp(name),
+        leaseMs,
+      },
+      Date.now(),
+    );
+    if (this.policy !== undefined) this.allocator.setPolicy(this.policy);
+    for (const worker of this.workers.values())
+      this.allocator.setWorker(worker);
+  }
+
+  setPolicy(policy: Policy): void {
+    this.policy = policy;
+    this.allocator?.setPolicy(policy);
+  }
+
+  addWorker(announcement: UpstreamAnnouncement): void {
+    this.workers.set(upstreamKey(announcement), announcement);
+    this.allocator?.setWorker(announcement);
+    this.updateCapacity();
+  }
+
+  removeWorker(key: string): void {
+    this.workers.delete(key);
+    this.ledger.drop(key);
+    this.options.pool.candidates.setCredits(key, 0);
+    this.allocator?.removeWorker(key);
+    this.updateCapacity();
+  }
+
+  /** Takes a credit for an attempt. */
+  use(worker: string): void {
+    this.ledger.use(worker);
+  }
+
+  /** Gives a credit back after an attempt. */
+  free(worker: string): void {
+    const returned = this.ledger.free(worker);
+    if (returned !== undefined) this.publish(worker);
+  }
+
+  /** Handles the report of an instance; undefined when not the allocator. */
+  handleReport(report: SlotReport): SlotReply | undefined {
+    return this.allocator?.report(report, Date.now());
+  }
+
+  close(): void {
+    clearInterval(this.timer);
+  }
+
+  private updateCapacity(): void {
+    let total: Resources = NO_RESOURCES;
+    for (const {capacity} of this.workers.values()) {
+      total = addResources(total, capacity);
+    }
+    this.options.sharing.setCapacity(total);
+  }
+
+  private tick(): void {
+    const now = Date.now();
+    const due = now - this.reportedAtMs >= MAX_REPORT_INTERVAL_MS;
+    if (this.reporting || !(due || this.demandChanged())) return;
+    void this.report(now);
+  }
+
+  /** Whether demand moved or tasks wait although credits are missing. */
+  private demandChanged(): boolean {
+    if (this.options.sharing.queuedTasks > 0) return true;
+    const demand = JSON.stringify(this.demand().map(({team}) => team));
+    return demand !== this.lastDemand;
+  }
+
+  private demand(): SlotReport['teams'] {
+    return this.options.sharing
+      .usage()
+      .map(({team, running, queued}) => ({
+        team,
+        demand: addResources(running, queued),
+      }))
+      .filter(({demand}) => demand.slots > 0);
+  }
+
+  private async report(now: number): Promise<void> {
+    this.reporting = true;
+    this.reportedAtMs = now;
+    const teams = this.demand();
+    this.lastDemand = JSON.stringify(teams.map(({team}) => team));
+    try {
+      const reply = await this.send({
+        from: this.options.self,
+        sequence: (this.sequence += 1),
+        appliedReply: this.appliedReply,
+        allocator: this.repliedBy,
+        teams,
+        held: [...this.ledger.all()].map(([worker, {held}]) => ({
+          worker,
+          credits: held,
+        })),
+        speeds: [],
+      });
+      if (reply?.sequence === this.sequence) this.apply(reply);
+    } catch (err) {
+      this.options.logger.debug('slot-report-failed', {err});
+    } finally {
+      this.reporting = false;
+    }
+  }
+
+  private send(report: SlotReport): Promise<SlotReply | undefined> {
+    const {self, network, allocatorName} = this.options;
+    const target = allocatorName();
+    if (target === undefined) return Promise.resolve(undefined);
+    if (target === self.name) return Promise.resolve(this.handleReport(report));
+    return network.call(target, REPORT_TIMEOUT_MS, client =>
+      client.slotReport.mutate(report),
+    );
+  }
+
+  private apply(reply: SlotReply): void {
+    const {pool, sharing, wake} = this.options;
+    this.appliedReply = reply.sequence;
+    this.repliedBy = reply.allocator;
+    for (const {worker, credits} of reply.grants) {
+      if (!this.workers.has(worker)) continue;
+      this.ledger.granted(worker, credits);
+      this.publish(worker);
+    }
+    const bySpeed = [...this.workers.keys()].sort(
+      (a, b) => speedOf(pool, a) - speedOf(pool, b),
+    );
+    const returned = this.ledger.keepAtMost(reply.keep ?? Infinity, bySpeed);
+    for (const {worker} of returned) this.publish(worker);
+    // A share that moved must reach its new holder before the next period.
+    if (returned.length > 0) this.reportedAtMs = 0;
+    sharing.setEntitlements(reply.entitlements);
+    if (reply.grants.length > 0) wake();
+  }
+
+  private publish(worker: string): void {
+    this.options.pool.candidates.setCredits(
+      worker,
+      this.ledger.of(worker).held,
+    );
+  }
+}
+
+function speedOf(pool: UpstreamPool, worker: string): number {
+  return pool.candidates.get(worker)?.speedFactor ?? 1;
+}
--- /dev/null
+++ b/packages/entry/src/upstreams/upstream_service.ts
@@ -0,0 +1,194 @@
+/** Knows the upstreams of the data centre, together with its other instances. */
+import {
+  type RegisteredUpstream,
+  type UpstreamEvent,
+  type UpstreamPeerMessage,
+  UpstreamRegistry,
+} from '@mustardferry/coordination';
+import {
+  type AnnounceReply,
+  type InstanceSettings,
+  type UpstreamAnnouncement,
+  type UpstreamId,
+  upstreamKey,
+  type UpstreamView,
+  type UsageReport,
+} from '@mustardferry/model';
+import type {Logger, Metrics} from '@mustardferry/runtime';
+
+import {fail} from '../http/problems.js';
+import type {PeerNetwork} from '../peers/peer_network.js';
+import type {SlotService} from '../slots/slot_service.js';
+import type {UpstreamPool} from './upstream_pool.js';
+
+/** Options of the service. */
+export interface UpstreamServiceOptions {
+  readonly settings: InstanceSettings;
+  readonly network: PeerNetwork;
+  readonly pool: UpstreamPool;
+  readonly slots: SlotService;
+  readonly wake: () => void;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+const EXPIRY_CHECK_MS = 100;
+const SUMMARY_PERIOD_MS = 1_000;
+const MESSAGE_TIMEOUT_MS = 1_000;
+
+/** Registry, its exchange with peers, and what follows from its events. */
+export class UpstreamService {
+  readonly name = 'upstream-service';
+  private readonly registry: UpstreamRegistry;
+  private readonly timers: readonly NodeJS.Timeout[];
+  private readonly peers: readonly string[];
+  private flushScheduled = false;
+
+  constructor(private readonly options: UpstreamServiceOptions) {
+    const {settings} = options;
+    this.registry = new UpstreamRegistry({
+      instance: settings.name,
+      session: Date.now(),
+      expiryMs: settings.upstreamExpiryMs,
+    });
+    this.peers = settings.instances
+      .filter(
+        ({name, dataCentre}) =>
+          name !== settings.name && dataCentre === settings.dataCentre,
+      )
+      .map(({name}) => name);
+    this.registry.subscribe(event => this.onEvent(event));
+    this.timers = [
+      setInterval(() => this.expire(), EXPIRY_CHECK_MS),
+      setInterval(() => this.summarize(), SUMMARY_PERIOD_MS),
+    ];
+  }
+
+  /** Handles an announcement or renewal. */
+  announce(announcement: UpstreamAnnouncement): AnnounceReply {
+    const {settings} = this.options;
+    if (announcement.dataCentre !== settings.dataCentre) {
+      fail(
+        'invalid-body',
+        `dataCentre: this instance serves ${settings.dataCentre}.`,
+      );
+    }
+    const result = this.registry.announce(announcement, performance.now());
+    this.scheduleFlush();
+    const renewAfterMs = settings.upstreamRenewalMs;
+    if (result.accepted) return {accepted: true, renewAfterMs};
+    return {accepted: false, reason: result.reason, renewAfterMs};
+  }
+
+  /** Stops new work for a leaving upstream, on all instances. */
+  leave(id: UpstreamId): boolean {
+    const known = this.registry.leave(id);
+    this.scheduleFlush();
+    return known;
+  }
+
+  reportUsage(report: UsageReport): void {
+    this.registry.reportUsage(report, performance.now());
+  }
+
+  /** Handles a message of a peer's registry. */
+  receive(
+    message: UpstreamPeerMessage,
+  ): ReturnType<UpstreamRegistry['receive']> {
+    return this.registry.receive(message, performance.now());
+  }
+
+  /** Sends everything to a peer whose connection just opened. */
+  peerUp(peer: string): void {
+    if (!this.peers.includes(peer)) return;
+    this.scheduleFlush();
+    this.send(peer, this.registry.full());
+  }
+
+  views(): readonly UpstreamView[] {
+    return this.registry.list().map(upstream => this.view(upstream));
+  }
+
+  close(): void {
+    for (const timer of this.timers) clearInterval(timer);
+  }
+
+  private view(upstream: RegisteredUpstream): UpstreamView {
+    const {announcement, state, holder, confirmedAtMs} = upstream;
+    const {pool, slots} = this.options;
+    const key = upstreamKey(announcement);
+    const candidate = pool.candidates.get(key);
+    const ejected = state === 'available' && candidate?.available === false;
+    return {
+      announcement,
+      state: ejected ? 'ejected' : state,
+      holder,
+      lastRenewalMsAgo: Math.round(performance.now() - confirmedAtMs),
+      creditsHere: slots.heldFor(key),
+      runningHere: candidate?.running ?? 0,
+    };
+  }
+
+  private onEvent({type, announcement}: UpstreamEvent): void {
+    const {pool, slots, logger, wake} = this.options;
+    const key = upstreamKey(announcement);
+    logger.info(`upstream-${type}`, {upstream: key});
+    if (type === 'available') {
+      pool.add(announcement);
+      slots.addWorker(announcement);
+      wake();
+      return;
+    }
+    pool.stopNewWork(announcement);
+    slots.removeWorker(key);
+    pool.removeIfIdle(key);
+  }
+
+  private expire(): void {
+    this.registry.expire(performance.now());
+    this.flush();
+  }
+
+  private scheduleFlush(): void {
+    if (this.flushScheduled) return;
+    this.flushScheduled = true;
+    setImmediate(() => {
+      this.flushScheduled = false;
+      this.flush();
+    });
+  }
+
+  private flush(): void {
+    const changes = this.registry.takeChanges();
+    if (changes === undefined) return;
+    for (const peer of this.peers) this.send(peer, changes);
+  }
+
+  private summarize(): void {
+    const now = performance.now();
+    const usage = this.registry.takeUsage(now);
+    const messages = [
+      ...this.registry.summary(now),
+      ...(usage === undefined ? [] : [usage]),
+    ];
+    for (const peer of this.peers) {
+      for (const message of messages) this.send(peer, message);
+    }
+    this.options.metrics.gauge('upstreams.known', this.registry.size);
+  }
+
+  private send(peer: string, message: UpstreamPeerMessage): void {
+    const {network, logger} = this.options;
+    if (!network.isUp(peer)) return;
+    network
+      .call(peer, MESSAGE_TIMEOUT_MS, client =>
+        client.upstreamMessage.mutate(message),
+      )
+      .then(({next}) => {
+        if (next === 'request-full') this.send(peer, this.registry.full());
+      })
+      .catch((err: unknown) =>
+        logger.debug('upstream-message-lost', {peer, err}),
+      );
+  }
+}
--- /dev/null
+++ b/packages/links/src/peer_encoder.ts
@@ -0,0 +1,24 @@
+/** Binary encoding of peer messages. */
+import {Packr} from 'msgpackr';
+
+const packr = new Packr({useRecords: false});
+
+/**
+ * Encoder for both ends of a peer connection. MessagePack carries snapshots
+ * as bytes and is about half the size of JSON on heartbeats.
+ */
+export const PEER_ENCODER = {
+  encode(data: unknown): Uint8Array<ArrayBuffer> {
+    return Uint8Array.from(packr.pack(data));
+  },
+  decode(data: string | ArrayBuffer | Uint8Array): unknown {
+    if (typeof data === 'string') return JSON.parse(data);
+    return packr.unpack(new Uint8Array(data));
+  },
+};
+
+/** The encoder carries all types that peers send, so nothing is converted. */
+export const PEER_TRANSFORMER = {
+  serialize: (value: unknown): unknown => value,
+  deserialize: (value: unknown): unknown => value,
+};
--- /dev/null
+++ b/packages/links/src/peer_server.ts
@@ -0,0 +1,71 @@
+/** Serves peer calls over WebSocket on an HTTP server. */
+import type {IncomingMessage, Server} from 'node:http';
+import type {Duplex} from 'node:stream';
+
+import {getWSConnectionHandler} from '@trpc/server/adapters/ws';
+import {WebSocketServer} from 'ws';
+
+import {PEER_ENCODER} from './peer_encoder.js';
+import type {PeerService} from './peer_messages.js';
+import {peerRouter} from './peer_router.js';
+
+/** Path of the peer WebSocket. */
+export const PEER_PATH = '/peer';
+
+/** Largest peer message; holds a job of the largest body or a snapshot. */
+const MAX_PEER_MESSAGE_BYTES = 64 * 1024 * 1024;
+
+/** Options of the peer server. */
+export interface PeerServerOptions {
+  readonly server: Server;
+  readonly service: PeerService;
+  /** Whether the upgrade request carries a valid instance token. */
+  readonly authorize: (req: IncomingMessage) => boolean;
+}
+
+/** Accepts peer connections on one HTTP server. */
+export class PeerServer {
+  readonly name = 'peer-server';
+  private readonly sockets: WebSocketServer;
+  private readonly onUpgrade: (
+    req: IncomingMessage,
+    socket: Duplex,
+    head: Buffer,
+  ) => void;
+
+  constructor(private readonly options: PeerServerOptions) {
+    this.sockets = new WebSocketServer({
+      noServer: true,
+      maxPayload: MAX_PEER_MESSAGE_BYTES,
+      perMessageDeflate: false,
+    });
+    const handle = getWSConnectionHandler({
+      wss: this.sockets,
+      router: peerRouter,
+      createContext: () => ({service: options.service}),
+      experimental_encoder: PEER_ENCODER,
+    });
+    this.sockets.on('connection', handle);
+    this.onUpgrade = (req, socket, head) => this.upgrade(req, socket, head);
+    options.server.on('upgrade', this.onUpgrade);
+  }
+
+  /** Closes all peer connections. */
+  close(): void {
+    this.options.server.off('upgrade', this.onUpgrade);
+    for (const socket of this.sockets.clients) socket.terminate();
+    this.sockets.close();
+  }
+
+  private upgrade(req: IncomingMessage, socket: Duplex, head: Buffer): void {
+    const path = new URL(req.url ?? '/', 'http://peer').pathname;
+    if (path !== PEER_PATH || !this.options.authorize(req)) {
+      const status = path === PEER_PATH ? '401 Unauthorized' : '404 Not Found';
+      socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\n\r\n`);
+      return;
+    }
+    this.sockets.handleUpgrade(req, socket, head, client => {
+      this.sockets.emit('connection', client, req);
+    });
+  }
+}
--- /dev/null
+++ b/packages/links/src/peer_socket.ts
@@ -0,0 +1,37 @@
+/** WebSocket client that gives up on a silent connection. */
+import {WebSocket} from 'ws';
+
+/**
+ * Time for the closing handshake. A connection whose other end has gone
+ * silent never completes it, and `ws` alone would wait 30 s.
+ */
+const CLOSE_HANDSHAKE_MS = 100;
+
+const CONNECT_TIMEOUT_MS = 1_000;
+
+/** Creates a WebSocket class whose instances present a bearer token. */
+export function peerSocketClass(token: string | undefined): typeof WebSocket {
+  const headers = token === undefined ? {} : {authorization: `Bearer ${token}`};
+  return class PeerSocket extends WebSocket {
+    constructor(address: string | URL) {
+      super(address, {
+        headers,
+        handshakeTimeout: CONNECT_TIMEOUT_MS,
+        perMessageDeflate: false,
+      });
+      this.on('open', () => this.socketOf()?.setNoDelay(true));
+      // Errors surface as close events; an unhandled one would end the process.
+      this.on('error', () => undefined);
+    }
+
+    override close(code?: number, data?: string | Buffer): void {
+      super.close(code, data);
+      setTimeout(() => this.terminate(), CLOSE_HANDSHAKE_MS).unref();
+    }
+
+    private socketOf(): {setNoDelay(on: boolean): void} | undefined {
+      return (this as unknown as {_socket?: {setNoDelay(on: boolean): void}})
+        ._socket;
+    }
+  } as unknown as typeof WebSocket;
+}
