Apply limits, retries, hedging and upstream health to dispatch

Cause: dispatch used fixed rules for admission and retries. Change: admission by expected wait, retry budgets, second copies by expected gain, ejection with probes and adaptive concurrency, all from the decisions package; refusals keep their explanation.

--- a/packages/entry/src/dispatch/admission.ts
+++ b/packages/entry/src/dispatch/admission.ts
@@ -1,14 +1,17 @@
 /** Decides whether a job may enter the queues. */
-import type {SharingPolicy} from '@mustardferry/decisions';
 import {
-  fitsInto,
-  type Problem,
-  RESOURCE_NAMES,
-  type Resources,
-} from '@mustardferry/model';
+  decideAdmission,
+  neverRunnable,
+  type Runnability,
+  type SharingPolicy,
+} from '@mustardferry/decisions';
+import type {TaskSpec} from '@mustardferry/model';
 
-import {problem} from '../http/problems.js';
-import type {AdmissionRequest} from '../jobs/task_scheduler.js';
+import {problem, type ProblemCode} from '../http/problems.js';
+import type {
+  AdmissionRequest,
+  AdmissionVerdict,
+} from '../jobs/task_scheduler.js';
 import type {UpstreamPool} from '../upstreams/upstream_pool.js';
 
 /** Options of admission. */
@@ -16,63 +19,102 @@
   readonly sharing: SharingPolicy;
   readonly pool: UpstreamPool;
   readonly maxQueuedTasks: number;
+  /** Time that a missing upstream may take to announce itself. */
+  readonly unknownUpstreamWaitMs: number;
 }
 
-/** Checks queue bounds, quotas and whether any upstream fits. */
+const RECHECK_MS = 50;
+
+/** Checks quotas, upstreams, queue bounds and the expected wait. */
 export class Admission {
   constructor(private readonly options: AdmissionOptions) {}
 
-  /** A problem with outcome `not-run`, or undefined when the job may enter. */
-  decide(req: AdmissionRequest, now: number): Problem | undefined {
-    return this.neverRunnable(req) ?? this.queueFull(req, now);
+  /** Decides; waits only while a missing upstream may still announce itself. */
+  async decide(req: AdmissionRequest): Promise<AdmissionVerdict> {
+    for (;;) {
+      const runnable = this.leastRunnable(req, Date.now());
+      if (runnable.type === 'runnable') return this.limits(req, Date.now());
+      if (runnable.type === 'never') return this.refuse(req, runnable);
+      await new Promise(resolve => setTimeout(resolve, RECHECK_MS));
+    }
   }
 
-  private neverRunnable(req: AdmissionRequest): Problem | undefined {
-    const {team, kind} = req.job;
-    const {jobId} = req;
-    for (const task of req.tasks) {
-      const need = task.resources ?? kind.resources;
-      if (!fitsInto(need, team.quota)) {
-        return problem(
-          'quota-zero',
-          `Task ${task.id} needs more than the quota of ${team.team}.`,
-          {jobId},
-        );
-      }
-      if (!this.someFits(kind.kind, need)) {
-        return problem(
-          'no-upstream-large-enough',
-          `No upstream for ${kind.kind} offers ${describe(need)}.`,
-          {jobId, retryAfterSeconds: 1},
-        );
-      }
+  /** The worst verdict over the tasks; equal tasks are judged once. */
+  private leastRunnable(req: AdmissionRequest, now: number): Runnability {
+    let worst: Runnability = {type: 'runnable', reason: 'capacity-available'};
+    const seen = new Set<TaskSpec['resources']>();
+    for (const {resources} of req.tasks) {
+      if (seen.has(resources)) continue;
+      seen.add(resources);
+      const verdict = this.runnable(req, resources, now);
+      if (verdict.type === 'never') return verdict;
+      if (verdict.type === 'wait') worst = verdict;
     }
-    return undefined;
+    return worst;
   }
 
-  private someFits(kind: string, need: Resources): boolean {
-    for (const upstream of this.options.pool.all()) {
-      if (!upstream.kinds.includes(kind)) continue;
-      if (fitsInto(need, upstream.capacity)) return true;
-    }
-    return false;
+  private runnable(
+    req: AdmissionRequest,
+    resources: TaskSpec['resources'],
+    now: number,
+  ): Runnability {
+    const {pool, unknownUpstreamWaitMs} = this.options;
+    const {team, kind} = req.job;
+    return neverRunnable(
+      {
+        team: team.team,
+        kind: kind.kind,
+        resources: resources ?? kind.resources,
+        quota: team.quota,
+        capacities: pool.capacitiesFor(kind.kind),
+        sinceMs: pool.lastRemovalAtMs,
+        unknownUpstreamWaitMs,
+      },
+      now,
+    );
   }
 
-  private queueFull(req: AdmissionRequest, _now: number): Problem | undefined {
+  private refuse(
+    req: AdmissionRequest,
+    never: Extract<Runnability, {type: 'never'}>,
+  ): AdmissionVerdict {
+    const {reason, detail, answer} = never;
+    const code: ProblemCode =
+      reason === 'kind-not-offered'
+        ? 'no-upstream-for-kind'
+        : reason === 'quota-zero'
+          ? 'quota-zero'
+          : 'no-upstream-large-enough';
+    const {jobId} = req;
+    const retry = code === 'quota-zero' ? {} : {retryAfterSeconds: 1};
+    return {
+      problem: problem(code, `${detail}.`, {jobId, ...retry}),
+      reason,
+      ...(answer === undefined ? {} : {answer}),
+    };
+  }
+
+  private limits(req: AdmissionRequest, now: number): AdmissionVerdict {
     const {sharing, maxQueuedTasks} = this.options;
     const {team, kind} = req.job;
-    const {tasks} = sharing.backlogOf(team.team, kind.kind);
-    const full =
-      tasks + req.tasks.length > kind.queueLimit ||
-      sharing.queuedTasks + req.tasks.length > maxQueuedTasks;
-    if (!full) return undefined;
-    return problem('queue-full', `${tasks} tasks of ${kind.kind} wait.`, {
-      jobId: req.jobId,
-      retryAfterSeconds: 1,
+    const decision = decideAdmission({
+      team: team.team,
+      kind,
+      tasks: req.tasks.length,
+      queuedOfKind: sharing.backlogOf(team.team, kind.kind).tasks,
+      queuedTasks: sharing.queuedTasks,
+      maxQueuedTasks,
+      expectedWaitMs: sharing.expectedWaitMs(team.team, kind.urgency, now),
     });
+    if (decision.admitted) return {reason: decision.reason};
+    const {reason, retryAfterSeconds, answer} = decision;
+    const code: ProblemCode =
+      reason === 'queue-full' ? 'queue-full' : 'target-not-reachable';
+    const detail = `${kind.kind} of ${team.team}: ${reason}.`;
+    return {
+      problem: problem(code, detail, {jobId: req.jobId, retryAfterSeconds}),
+      reason,
+      ...(answer === undefined ? {} : {answer}),
+    };
   }
 }
-
-function describe(need: Resources): string {
-  return RESOURCE_NAMES.map(name => `${need[name]} ${name}`).join(', ');
-}
--- a/packages/entry/src/dispatch/attempt_follower.ts
+++ b/packages/entry/src/dispatch/attempt_follower.ts
@@ -1,4 +1,5 @@
 /** Follows attempts to their outcome and decides how their tasks go on. */
+import type {RetryBudget} from '@mustardferry/decisions';
 import {assertNever, must} from '@mustardferry/model';
 import type {Logger} from '@mustardferry/runtime';
 
@@ -9,6 +10,7 @@
 import type {OutcomePolicy} from './outcome_policy.js';
 import {StartRecorder} from './start_recorder.js';
 import type {RunningAttempt, TaskEntry} from './task_entry.js';
+import type {UpstreamMonitor} from './upstream_monitor.js';
 
 /** Options of the follower. */
 export interface AttemptFollowerOptions {
@@ -21,6 +23,10 @@
   readonly requeue: (entry: TaskEntry) => void;
   /** Forgets a task. */
   readonly drop: (entry: TaskEntry) => void;
+  readonly budget: RetryBudget;
+  readonly monitor: UpstreamMonitor;
+  /** Told of each attempt that was sent, to consider a second copy. */
+  readonly watch: (entry: TaskEntry, attempt: RunningAttempt) => void;
   /** Told when an attempt freed its slot. */
   readonly freed: () => void;
 }
@@ -87,8 +93,11 @@
   }
 
   private send(entry: TaskEntry, attempt: RunningAttempt): void {
+    if (entry.sent === 0) this.options.budget.started(entry.queued.team);
     entry.sent += 1;
     entry.task.job.noteStarted();
+    this.options.monitor.sent(attempt);
+    this.options.watch(entry, attempt);
     void this.options.launcher
       .launch(entry, attempt)
       .then(outcome => this.onOutcome(entry, attempt, outcome));
--- a/packages/entry/src/dispatch/dispatch_parts.ts
+++ b/packages/entry/src/dispatch/dispatch_parts.ts
@@ -1,5 +1,9 @@
 /** Creates the parts of dispatch from the settings. */
-import {RunTimeEstimator, type SharingPolicy} from '@mustardferry/decisions';
+import {
+  RetryBudget,
+  RunTimeEstimator,
+  type SharingPolicy,
+} from '@mustardferry/decisions';
 import {
   addResources,
   type InstanceSettings,
@@ -8,6 +12,7 @@
   type Resources,
 } from '@mustardferry/model';
 import type {Logger, Metrics} from '@mustardferry/runtime';
+import prand from 'pure-rand';
 
 import type {UpstreamPool} from '../upstreams/upstream_pool.js';
 import {Admission} from './admission.js';
@@ -16,8 +21,9 @@
 import {Dispatcher} from './dispatcher.js';
 import {LeaseRenewer} from './lease_renewer.js';
 import {OutcomePolicy} from './outcome_policy.js';
-import {createRouting, createSharing} from './policies.js';
+import {createHedging, createRouting, createSharing} from './policies.js';
 import {ShareMeter} from './share_meter.js';
+import {UpstreamMonitor} from './upstream_monitor.js';
 
 /** Options of the parts. */
 export interface DispatchOptions {
@@ -34,6 +40,7 @@
   readonly scheduler: Dispatcher;
   readonly sharing: SharingPolicy;
   readonly shares: ShareMeter;
+  readonly monitor: UpstreamMonitor;
   setPolicy(policy: Policy): void;
   close(): void;
 }
@@ -58,39 +65,66 @@
 
 /** Creates the dispatcher with its policies. */
 export function createDispatch(options: DispatchOptions): DispatchParts {
-  const {settings, pool, slots, logger, metrics} = options;
+  const {settings, pool, logger, metrics} = options;
   const estimator = new RunTimeEstimator();
   const sharing = createSharing(settings.policies.sharing);
-  const seed = Date.now() & 0x7fffffff;
-  const routing = createRouting(settings.policies.routing, estimator, seed);
+  const budget = new RetryBudget();
   const renewer = new LeaseRenewer(settings.taskLeaseMs, logger);
-  const common = {pool, estimator, sharing, logger, metrics};
-  const scheduler = new Dispatcher({
-    ...common,
-    routing,
-    launcher: new AttemptLauncher({
-      ...common,
-      instance: settings.name,
-      leaseMs: settings.taskLeaseMs,
-      renewer,
-    }),
-    credits: slots,
-    admission: new Admission({
-      ...common,
-      maxQueuedTasks: settings.limits.maxQueuedTasks,
-    }),
-    outcomes: new OutcomePolicy(common),
-  });
+  const wake = (): void => scheduler.wake();
+  const common = {pool, estimator, sharing, budget, logger, metrics};
+  const monitor = new UpstreamMonitor({...common, wake});
+  const scheduler = createDispatcher(options, {...common, monitor, renewer});
   const shares = createShares(options, sharing);
   return {
     scheduler,
     sharing,
     shares,
-    setPolicy: next => sharing.setPolicy(next),
+    monitor,
+    setPolicy: next => {
+      sharing.setPolicy(next);
+      budget.setPolicy(next);
+    },
     close: () => {
       scheduler.close();
+      monitor.close();
       renewer.close();
       shares.close();
     },
   };
 }
+
+interface CommonParts {
+  readonly pool: UpstreamPool;
+  readonly estimator: RunTimeEstimator;
+  readonly sharing: SharingPolicy;
+  readonly budget: RetryBudget;
+  readonly monitor: UpstreamMonitor;
+  readonly renewer: LeaseRenewer;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+function createDispatcher(
+  {settings, slots}: DispatchOptions,
+  parts: CommonParts,
+): Dispatcher {
+  const {policies, limits, name, taskLeaseMs} = settings;
+  const {estimator, budget} = parts;
+  const seed = Date.now() & 0x7fffffff;
+  return new Dispatcher({
+    ...parts,
+    routing: createRouting(policies.routing, estimator, seed),
+    hedging: createHedging(policies.hedging, estimator, budget),
+    launcher: new AttemptLauncher({
+      ...parts,
+      instance: name,
+      leaseMs: taskLeaseMs,
+    }),
+    credits: slots,
+    admission: new Admission({...parts, ...limits}),
+    outcomes: new OutcomePolicy({
+      ...parts,
+      rng: prand.xoroshiro128plus(seed),
+    }),
+  });
+}
--- a/packages/entry/src/dispatch/dispatcher.ts
+++ b/packages/entry/src/dispatch/dispatcher.ts
@@ -1,18 +1,21 @@
 /** Picks tasks by share, routes them and follows their attempts. */
 import type {
+  HedgingPolicy,
   QueuedTask,
+  RetryBudget,
   RoutingDecision,
   RoutingPolicy,
   RunTimeEstimator,
   SharingPolicy,
 } from '@mustardferry/decisions';
-import type {JobAnswer, Problem} from '@mustardferry/model';
+import type {JobAnswer} from '@mustardferry/model';
 import {upstreamKey} from '@mustardferry/model';
 import type {Logger, Metrics} from '@mustardferry/runtime';
 
 import type {RunningJob} from '../jobs/running_job.js';
 import {
   type AdmissionRequest,
+  type AdmissionVerdict,
   type ScheduledTask,
   TaskScheduler,
 } from '../jobs/task_scheduler.js';
@@ -21,10 +24,12 @@
 import {AttemptBook, type CreditUse} from './attempt_book.js';
 import {AttemptFollower} from './attempt_follower.js';
 import type {AttemptLauncher} from './attempt_launcher.js';
+import {Hedger} from './hedger.js';
 import {JobProgress} from './job_progress.js';
 import type {OutcomePolicy} from './outcome_policy.js';
 import type {RunningAttempt, TaskEntry} from './task_entry.js';
 import {TaskTable} from './task_table.js';
+import type {UpstreamMonitor} from './upstream_monitor.js';
 
 /** Options of the dispatcher. */
 export interface DispatcherOptions {
@@ -36,6 +41,9 @@
   readonly credits: CreditUse;
   readonly admission: Admission;
   readonly outcomes: OutcomePolicy;
+  readonly hedging: HedgingPolicy;
+  readonly budget: RetryBudget;
+  readonly monitor: UpstreamMonitor;
   readonly logger: Logger;
   readonly metrics: Metrics;
 }
@@ -51,6 +59,7 @@
   private readonly progress = new JobProgress();
   private readonly book: AttemptBook;
   private readonly follower: AttemptFollower;
+  private readonly hedger: Hedger;
   private pumpScheduled = false;
   private retryTimer: NodeJS.Timeout | undefined;
   private closed = false;
@@ -63,8 +72,14 @@
       book: this.book,
       requeue: entry => this.enqueue(entry),
       drop: entry => this.drop(entry),
+      watch: (entry, attempt) => this.hedger.watch(entry, attempt),
       freed: () => this.wake(),
     });
+    this.hedger = new Hedger({
+      ...options,
+      start: (entry, upstream, expectedRunMs) =>
+        this.startAttempt(entry, upstream, expectedRunMs, Date.now()),
+    });
   }
 
   /** Tasks that are queued or running. */
@@ -72,8 +87,8 @@
     return this.tasks.size;
   }
 
-  override admit(req: AdmissionRequest): Problem | undefined {
-    return this.options.admission.decide(req, Date.now());
+  override admit(req: AdmissionRequest): Promise<AdmissionVerdict> {
+    return this.options.admission.decide(req);
   }
 
   override schedule(task: ScheduledTask): void {
@@ -209,24 +224,34 @@
     entry: TaskEntry,
     routed: Extract<RoutingDecision, {type: 'start'}>,
     now: number,
+  ): void {
+    const {upstream, expectedRunMs, reason} = routed;
+    entry.task.job.explain({
+      atMs: now,
+      taskId: entry.queued.taskId,
+      step: 'routed',
+      reason,
+      detail: upstream,
+    });
+    this.startAttempt(entry, upstream, expectedRunMs, now);
+  }
+
+  private startAttempt(
+    entry: TaskEntry,
+    upstream: string,
+    expectedRunMs: number,
+    now: number,
   ): void {
     const attempt: RunningAttempt = {
       attempt: entry.nextAttempt,
-      upstream: routed.upstream,
+      upstream,
       startedAtMs: now,
-      expectedRunMs: routed.expectedRunMs,
+      expectedRunMs,
       chargeId: `${entry.queued.taskId}#${entry.nextAttempt}`,
     };
     entry.nextAttempt += 1;
     entry.place = 'running';
     this.book.occupy(entry, attempt);
-    entry.task.job.explain({
-      atMs: now,
-      taskId: entry.queued.taskId,
-      step: 'routed',
-      reason: routed.reason,
-      detail: routed.upstream,
-    });
     this.follower.begin(entry, attempt);
   }
 
--- /dev/null
+++ b/packages/entry/src/dispatch/hedger.ts
@@ -0,0 +1,115 @@
+/** Sends second copies of slow tasks where the policy finds it worth it. */
+import type {HedgingPolicy, RoutingPolicy} from '@mustardferry/decisions';
+import type {Metrics} from '@mustardferry/runtime';
+
+import type {UpstreamPool} from '../upstreams/upstream_pool.js';
+import type {RunningAttempt, TaskEntry} from './task_entry.js';
+
+/** Options of the hedger. */
+export interface HedgerOptions {
+  readonly hedging: HedgingPolicy;
+  readonly routing: RoutingPolicy;
+  readonly pool: UpstreamPool;
+  readonly metrics: Metrics;
+  /** Starts a further attempt on the given upstream. */
+  readonly start: (
+    entry: TaskEntry,
+    upstream: string,
+    expectedRunMs: number,
+  ) => void;
+}
+
+/** Checks of one attempt after the first; the gain may grow with time. */
+const MAX_CHECKS = 4;
+/** A later check comes after this part of the time that has passed. */
+const RECHECK_PART = 0.5;
+const MIN_CHECK_MS = 5;
+const MAX_CHECK_MS = 60_000;
+
+/** Watches running attempts of repeatable kinds. */
+export class Hedger {
+  constructor(private readonly options: HedgerOptions) {}
+
+  /** Schedules the first check of an attempt that was just sent. */
+  watch(entry: TaskEntry, attempt: RunningAttempt): void {
+    const {job} = entry.task;
+    if (!job.kind.repeatable || entry.running.size > 1) return;
+    const firstMs = this.options.hedging.firstCheckMs(
+      this.question(entry, attempt),
+    );
+    if (Number.isFinite(firstMs)) this.checkIn(entry, attempt, firstMs, 0);
+  }
+
+  private checkIn(
+    entry: TaskEntry,
+    attempt: RunningAttempt,
+    delayMs: number,
+    checks: number,
+  ): void {
+    const bounded = Math.min(MAX_CHECK_MS, Math.max(MIN_CHECK_MS, delayMs));
+    setTimeout(() => this.check(entry, attempt, checks), bounded).unref();
+  }
+
+  private check(
+    entry: TaskEntry,
+    attempt: RunningAttempt,
+    checks: number,
+  ): void {
+    const {job, owner} = entry.task;
+    const isRunning = entry.running.get(attempt.attempt) === attempt;
+    if (!isRunning || entry.place === 'ended' || job.settled) return;
+    if (!owner.active || entry.running.size > 1) return;
+    const now = Date.now();
+    const elapsedMs = now - attempt.startedAtMs;
+    const routed = this.route(entry, attempt, now);
+    const decision = this.options.hedging.decide({
+      ...this.question(entry, attempt),
+      elapsedMs,
+      ...(routed === undefined ? {} : {alternative: routed.upstream}),
+    });
+    if (!decision.hedge || routed === undefined) {
+      if (checks >= MAX_CHECKS) return;
+      this.checkIn(entry, attempt, RECHECK_PART * elapsedMs, checks + 1);
+      return;
+    }
+    job.explain({
+      atMs: now,
+      taskId: entry.queued.taskId,
+      step: 'hedged',
+      reason: decision.reason,
+      detail: `${routed.upstream}, expected gain ${Math.round(decision.gainMs)} ms`,
+      ...(decision.answer === undefined ? {} : {answer: decision.answer}),
+    });
+    this.options.metrics.increment('tasks.hedged', 1, {
+      team: entry.queued.team,
+    });
+    this.options.start(entry, routed.upstream, routed.expectedRunMs);
+  }
+
+  private route(entry: TaskEntry, attempt: RunningAttempt, now: number) {
+    const {queued, excluded} = entry;
+    const routed = this.options.routing.choose(
+      {
+        ...queued,
+        excluded: new Set([...excluded, attempt.upstream]),
+        waited: true,
+      },
+      this.options.pool.candidates,
+      now,
+    );
+    return routed.type === 'start' ? routed : undefined;
+  }
+
+  private question(entry: TaskEntry, attempt: RunningAttempt) {
+    const {queued, task} = entry;
+    return {
+      team: queued.team,
+      kind: queued.kind,
+      repeatable: task.job.kind.repeatable,
+      declaredMs: queued.expectedRunMs,
+      upstream: attempt.upstream,
+      copies: entry.running.size,
+      wastedMessageCostMs: task.job.team.wastedMessageCostMs,
+    };
+  }
+}
--- a/packages/entry/src/dispatch/outcome_policy.ts
+++ b/packages/entry/src/dispatch/outcome_policy.ts
@@ -1,10 +1,21 @@
 /** What follows from the outcome of an attempt. */
-import type {RunTimeEstimator} from '@mustardferry/decisions';
+import {
+  type AttemptFailure,
+  decideRetry,
+  type RetryBudget,
+  type RunTimeEstimator,
+} from '@mustardferry/decisions';
+import {assertNever} from '@mustardferry/model';
 import type {Metrics} from '@mustardferry/runtime';
+import type {RandomGenerator} from 'pure-rand';
 
 import type {JobFailure} from '../jobs/running_job.js';
 import type {AttemptOutcome} from './attempt_outcome.js';
 import type {RunningAttempt, TaskEntry} from './task_entry.js';
+import type {UpstreamMonitor} from './upstream_monitor.js';
+
+/** An outcome other than a result. */
+export type FailedOutcome = Exclude<AttemptOutcome, {type: 'done'}>;
 
 /** Next step of a task whose attempt did not produce a result. */
 export type NextStep =
@@ -19,66 +30,98 @@
 /** Options of the policy. */
 export interface OutcomePolicyOptions {
   readonly estimator: RunTimeEstimator;
+  readonly budget: RetryBudget;
+  readonly monitor: UpstreamMonitor;
+  readonly rng: RandomGenerator;
   readonly metrics: Metrics;
 }
 
-const MAX_SENT = 5;
-const REFUSED_DELAY_MS = 20;
+/** Attempts of one task, the first one included. */
+const MAX_ATTEMPTS = 5;
 
 /** Learns from outcomes and decides about retries. */
 export class OutcomePolicy {
   constructor(private readonly options: OutcomePolicyOptions) {}
 
-  /** Feeds estimates and metrics with an outcome. */
+  /** Feeds estimates, upstream health and metrics with an outcome. */
   observe(
     entry: TaskEntry,
     attempt: RunningAttempt,
     outcome: AttemptOutcome,
   ): void {
+    const {estimator, monitor, metrics} = this.options;
     const now = Date.now();
+    const {upstream} = attempt;
+    const {team, kind} = entry.queued;
+    monitor.observe(entry, attempt, outcome, now);
     if (outcome.type === 'done') {
-      this.options.estimator.observe(
-        {
-          team: entry.queued.team,
-          kind: entry.queued.kind,
-          upstream: attempt.upstream,
-          runMs: outcome.runMs,
-          endedAtMs: now,
-        },
-        now,
-      );
+      const {runMs} = outcome;
+      estimator.observe({team, kind, upstream, runMs, endedAtMs: now}, now);
       return;
     }
-    this.options.metrics.increment('attempts.without_result', 1, {
-      cause: outcome.type,
-    });
+    metrics.increment('attempts.without_result', 1, {cause: outcome.type});
   }
 
   /** Decides how a task without a result goes on. */
   afterFailure(
     entry: TaskEntry,
     attempt: RunningAttempt,
-    outcome: Exclude<AttemptOutcome, {type: 'done'}>,
+    outcome: FailedOutcome,
   ): NextStep {
-    const {repeatable} = entry.task.job.kind;
-    const notStarted =
-      outcome.type === 'not-started' || outcome.type === 'refused';
-    if (!repeatable && !notStarted)
-      return {type: 'fail', failure: failureOf(outcome)};
-    if (entry.sent >= MAX_SENT)
-      return {type: 'fail', failure: failureOf(outcome)};
+    const {budget, rng, metrics} = this.options;
+    const {job} = entry.task;
+    const {team, kind, expectedRunMs} = entry.queued;
     entry.excluded.add(attempt.upstream);
-    return {
-      type: 'retry',
-      delayMs: outcome.type === 'refused' ? REFUSED_DELAY_MS : 0,
-      seal: !repeatable,
-    };
+    if (outcome.type === 'task-error') entry.failedOn.add(attempt.upstream);
+    const now = Date.now();
+    const decision = decideRetry(
+      {
+        team,
+        kind,
+        repeatable: job.kind.repeatable,
+        failure: failureKind(outcome),
+        attempts: Math.max(1, entry.sent),
+        maxAttempts: MAX_ATTEMPTS,
+        failedUpstreams: entry.failedOn.size,
+        deadlineAtMs: job.deadlineAtMs,
+        expectedRunMs,
+      },
+      budget,
+      rng,
+      now,
+    );
+    job.explain({
+      atMs: now,
+      taskId: entry.queued.taskId,
+      step: decision.retry ? 'retried' : 'refused',
+      reason: decision.reason,
+      detail: `${outcome.type} on ${attempt.upstream}`,
+      ...(decision.answer === undefined ? {} : {answer: decision.answer}),
+    });
+    if (!decision.retry) return {type: 'fail', failure: failureOf(outcome)};
+    metrics.increment('tasks.retried', 1, {team, cause: outcome.type});
+    const {delayMs} = decision;
+    return {type: 'retry', delayMs, seal: !job.kind.repeatable};
+  }
+}
+
+function failureKind(outcome: FailedOutcome): AttemptFailure {
+  switch (outcome.type) {
+    case 'refused':
+    case 'not-started':
+      return 'refused';
+    case 'task-error':
+      return 'error';
+    case 'stopped':
+      return 'stopped';
+    case 'unresolved':
+      return 'lost';
+    default:
+      return assertNever(outcome);
   }
 }
 
-function failureOf(
-  outcome: Exclude<AttemptOutcome, {type: 'done'}>,
-): JobFailure {
+function failureOf(outcome: FailedOutcome): JobFailure {
   switch (outcome.type) {
     case 'task-error':
       return {code: 'task-failed', detail: outcome.message};
@@ -94,5 +137,7 @@
         detail: `A task may have run: ${outcome.reason}.`,
         unknown: true,
       };
+    default:
+      return assertNever(outcome);
   }
 }
--- a/packages/entry/src/dispatch/task_entry.ts
+++ b/packages/entry/src/dispatch/task_entry.ts
@@ -25,8 +25,8 @@
   nextAttempt: number;
   /** Attempts that were sent, hedges included. */
   sent: number;
-  /** Attempts that ended with an error of the task. */
-  errors: number;
+  /** Upstreams on which the task itself ended with an error. */
+  readonly failedOn: Set<string>;
   waited: boolean;
   /** Where the task is now. */
   place: 'queued' | 'held' | 'running' | 'backing-off' | 'ended';
--- a/packages/entry/src/dispatch/task_table.ts
+++ b/packages/entry/src/dispatch/task_table.ts
@@ -50,7 +50,7 @@
       running: new Map(),
       nextAttempt: task.nextAttempt,
       sent: 0,
-      errors: 0,
+      failedOn: new Set(),
       waited: false,
       place: 'queued',
     };
--- /dev/null
+++ b/packages/entry/src/dispatch/upstream_monitor.ts
@@ -0,0 +1,146 @@
+/** Applies what results say about upstreams to the candidates. */
+import {
+  AdaptiveConcurrency,
+  OutlierEjection,
+  type RunTimeEstimator,
+} from '@mustardferry/decisions';
+import type {Logger, Metrics} from '@mustardferry/runtime';
+
+import type {UpstreamPool} from '../upstreams/upstream_pool.js';
+import type {AttemptOutcome} from './attempt_outcome.js';
+import type {RunningAttempt, TaskEntry} from './task_entry.js';
+
+/** Options of the monitor. */
+export interface UpstreamMonitorOptions {
+  readonly pool: UpstreamPool;
+  readonly estimator: RunTimeEstimator;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  /** Told when an upstream may take tasks again. */
+  readonly wake: () => void;
+}
+
+const PROBE_CHECK_MS = 100;
+/** Runs before a slow answer is held against an upstream's concurrency. */
+const MIN_SAMPLES = 8;
+
+/** Ejects, probes and limits upstreams. */
+export class UpstreamMonitor {
+  private readonly ejection = new OutlierEjection();
+  private readonly concurrency = new Map<string, AdaptiveConcurrency>();
+  private readonly unhealthy = new Set<string>();
+  private readonly timer: NodeJS.Timeout;
+
+  constructor(private readonly options: UpstreamMonitorOptions) {
+    this.timer = setInterval(() => this.checkProbes(), PROBE_CHECK_MS);
+  }
+
+  add(key: string, slots: number): void {
+    this.ejection.add(key);
+    this.concurrency.set(key, new AdaptiveConcurrency(slots));
+  }
+
+  remove(key: string): void {
+    this.ejection.remove(key);
+    this.concurrency.delete(key);
+    this.unhealthy.delete(key);
+  }
+
+  /** Notes that an attempt was sent; on an ejected upstream it is the probe. */
+  sent(attempt: RunningAttempt): void {
+    const {upstream} = attempt;
+    if (!this.unhealthy.has(upstream)) return;
+    this.ejection.probeStarted(upstream);
+    this.apply(upstream, Date.now());
+  }
+
+  /** Learns from an outcome. */
+  observe(
+    entry: TaskEntry,
+    attempt: RunningAttempt,
+    outcome: AttemptOutcome,
+    now: number,
+  ): void {
+    this.limit(entry, attempt, outcome, now);
+    const ok = outcome.type === 'done';
+    const failed =
+      outcome.type === 'task-error' ||
+      outcome.type === 'unresolved' ||
+      (outcome.type === 'not-started' && outcome.reason !== 'sealed');
+    if (!ok && !failed) {
+      this.ejection.probeAbandoned(attempt.upstream);
+      if (this.unhealthy.has(attempt.upstream)) {
+        this.apply(attempt.upstream, now);
+      }
+      return;
+    }
+    this.judge(entry, attempt, ok, now);
+  }
+
+  close(): void {
+    clearInterval(this.timer);
+  }
+
+  private judge(
+    entry: TaskEntry,
+    attempt: RunningAttempt,
+    ok: boolean,
+    now: number,
+  ): void {
+    const changes = this.ejection.record(
+      {
+        upstream: attempt.upstream,
+        taskId: entry.queued.taskId,
+        ok,
+        runMs: now - attempt.startedAtMs,
+        expectedMs: attempt.expectedRunMs,
+      },
+      now,
+    );
+    for (const {upstream, state, reason} of changes) {
+      this.options.logger.info('upstream-health', {upstream, state, reason});
+      this.options.metrics.increment('upstreams.health_changes', 1, {state});
+      if (state === 'available') this.unhealthy.delete(upstream);
+      else this.unhealthy.add(upstream);
+      this.apply(upstream, now);
+    }
+    if (this.unhealthy.has(attempt.upstream)) this.apply(attempt.upstream, now);
+  }
+
+  private limit(
+    entry: TaskEntry,
+    attempt: RunningAttempt,
+    outcome: AttemptOutcome,
+    now: number,
+  ): void {
+    const {upstream} = attempt;
+    const adaptive = this.concurrency.get(upstream);
+    const refused = outcome.type === 'refused' && outcome.refusal === 'no-slot';
+    if (adaptive === undefined || !(refused || outcome.type === 'done')) return;
+    const {team, kind, expectedRunMs} = entry.queued;
+    const question = {team, kind, upstream, declaredMs: expectedRunMs};
+    const {p95Ms, samples} = this.options.estimator.estimate(question);
+    if (!refused && samples < MIN_SAMPLES) return;
+    const running = this.options.pool.candidates.get(upstream)?.running ?? 0;
+    // Run times of one kind vary; only runs beyond the usual spread count.
+    const slowdown =
+      outcome.type === 'done' ? Math.max(1, outcome.runMs / p95Ms) : 1;
+    adaptive.observe({slowdown, refused, running}, now);
+    this.apply(upstream, now);
+  }
+
+  private checkProbes(): void {
+    const now = Date.now();
+    for (const upstream of this.unhealthy) this.apply(upstream, now);
+  }
+
+  private apply(upstream: string, now: number): void {
+    const {pool, wake} = this.options;
+    const {allowance} = this.ejection.verdict(upstream, now);
+    const before = pool.candidates.get(upstream)?.freeCredits ?? 0;
+    const limit = this.concurrency.get(upstream)?.limit ?? Infinity;
+    pool.setAllowance(upstream, Math.min(allowance, limit));
+    const after = pool.candidates.get(upstream)?.freeCredits ?? 0;
+    if (after > before) wake();
+  }
+}
--- a/packages/entry/src/groups/record_group.ts
+++ b/packages/entry/src/groups/record_group.ts
@@ -21,7 +21,7 @@
 /** What an owner needs besides its group. */
 export type OwnerContext = Pick<
   JobOwnerOptions,
-  'policy' | 'scheduler' | 'retentionMs' | 'explainStore' | 'metrics'
+  'policy' | 'scheduler' | 'retentionMs' | 'explanations' | 'metrics'
 >;
 
 /** Options of a membership. */
--- a/packages/entry/src/instance_parts.ts
+++ b/packages/entry/src/instance_parts.ts
@@ -7,7 +7,7 @@
 import {createDispatch, type DispatchParts} from './dispatch/dispatch_parts.js';
 import {OwnerDirectory} from './gateway/owner_directory.js';
 import {GroupService, newIncarnation} from './groups/group_service.js';
-import {ExplainStore} from './jobs/explain_store.js';
+import {JobExplanations} from './jobs/job_explanations.js';
 import {PeerNetwork} from './peers/peer_network.js';
 import {SlotService} from './slots/slot_service.js';
 import type {InstanceStorage} from './storage/instance_storage.js';
@@ -172,7 +172,7 @@
         policy: () => this.control.policy,
         scheduler: this.dispatch.scheduler,
         retentionMs: settings.recordRetentionMs,
-        explainStore: new ExplainStore(),
+        explanations: new JobExplanations(),
         metrics,
       },
       openStorage: (group, generation) =>
@@ -187,6 +187,7 @@
       network: this.network,
       pool: this.pool,
       slots: this.slots,
+      monitor: this.dispatch.monitor,
       wake: () => this.dispatch.scheduler.wake(),
     });
   }
--- a/packages/entry/src/jobs/job_admission.ts
+++ b/packages/entry/src/jobs/job_admission.ts
@@ -7,12 +7,7 @@
   RecordsState,
 } from '@mustardferry/coordination';
 import type {OwnerReply, SubmitToOwner} from '@mustardferry/links';
-import type {
-  KindPolicy,
-  Policy,
-  Problem,
-  TeamPolicy,
-} from '@mustardferry/model';
+import type {KindPolicy, Policy, TeamPolicy} from '@mustardferry/model';
 
 import {problem} from '../http/problems.js';
 import {
@@ -21,7 +16,7 @@
   problemReply,
   unknownKindReply,
 } from './owner_replies.js';
-import type {TaskScheduler} from './task_scheduler.js';
+import type {AdmissionVerdict, TaskScheduler} from './task_scheduler.js';
 
 /** A team with one of its kinds. */
 export interface TeamKind {
@@ -43,8 +38,17 @@
 
 /** An admitted job, or the reply that ends the request. */
 export type Admitted =
-  | {readonly type: 'admitted'; readonly found: TeamKind}
-  | {readonly type: 'reply'; readonly reply: OwnerReply};
+  | {
+      readonly type: 'admitted';
+      readonly found: TeamKind;
+      readonly verdict: AdmissionVerdict;
+    }
+  | {
+      readonly type: 'reply';
+      readonly reply: OwnerReply;
+      /** Present when the limits refused the job. */
+      readonly verdict?: AdmissionVerdict;
+    };
 
 /** Finds a kind in a configuration. */
 export function findTeamKind(
@@ -74,15 +78,20 @@
         reply: unknownKindReply(jobId, policy, team, kind),
       };
     }
-    const refusal = this.refusal(req, found);
-    if (refusal !== undefined) {
-      return {type: 'reply', reply: {type: 'problem', jobId, problem: refusal}};
+    const verdict = await this.verdict(req, found);
+    if (verdict.problem !== undefined) {
+      const reply = {type: 'problem', jobId, problem: verdict.problem} as const;
+      return {type: 'reply', reply, verdict};
     }
     const result = await this.options.propose(this.command(req, found));
     if (result.type !== 'admit') {
       return {type: 'reply', reply: notOwnerReply(jobId)};
     }
-    return this.interpret(jobId, result, found);
+    return this.interpret(jobId, result, {
+      type: 'admitted',
+      found,
+      verdict,
+    });
   }
 
   private command(req: SubmitToOwner, {kind}: TeamKind): AdmitCommand {
@@ -108,30 +117,32 @@
     };
   }
 
-  private refusal(req: SubmitToOwner, found: TeamKind): Problem | undefined {
+  private async verdict(
+    req: SubmitToOwner,
+    found: TeamKind,
+  ): Promise<AdmissionVerdict> {
+    const {jobId} = req;
     if (!found.kind.repeatable && !this.options.hasDurableStorage()) {
-      return problem(
+      const refused = problem(
         'no-durable-storage',
         'No instance with a disk is reachable in the record group.',
-        {jobId: req.jobId, retryAfterSeconds: 1},
+        {jobId, retryAfterSeconds: 1},
       );
+      return {problem: refused, reason: 'no-durable-storage'};
     }
-    return this.options.scheduler.admit({
-      jobId: req.jobId,
-      job: found,
-      tasks: req.submission.tasks,
-    });
+    const {tasks} = req.submission;
+    return this.options.scheduler.admit({jobId, job: found, tasks});
   }
 
   private interpret(
     jobId: string,
     result: AdmitResult,
-    found: TeamKind,
+    admitted: Admitted,
   ): Admitted {
     switch (result.outcome) {
       case 'joined':
       case 'admitted':
-        return {type: 'admitted', found};
+        return admitted;
       case 'conflict':
         return {type: 'reply', reply: conflictReply(jobId)};
       case 'full':
--- a/packages/entry/src/jobs/job_owner.ts
+++ b/packages/entry/src/jobs/job_owner.ts
@@ -11,17 +11,12 @@
   OwnerReply,
   SubmitToOwner,
 } from '@mustardferry/links';
-import type {
-  ExplainStep,
-  JobAnswer,
-  OwnerEpoch,
-  Policy,
-} from '@mustardferry/model';
+import type {JobAnswer, OwnerEpoch, Policy} from '@mustardferry/model';
 import type {Logger, Metrics} from '@mustardferry/runtime';
 
-import type {ExplainStore} from './explain_store.js';
 import {type Admitted, findTeamKind, JobAdmission} from './job_admission.js';
 import {JobDeadlines} from './job_deadlines.js';
+import {type JobExplanations, noteStep} from './job_explanations.js';
 import {recordAnswer} from './job_settlement.js';
 import {scheduleTasks} from './job_tasks.js';
 import {viewOf} from './job_views.js';
@@ -51,7 +46,7 @@
   readonly holdsLease: () => boolean;
   /** Whether the group has a member with synced storage. */
   readonly hasDurableStorage: () => boolean;
-  readonly explainStore: ExplainStore;
+  readonly explanations: JobExplanations;
   readonly logger: Logger;
   readonly metrics: Metrics;
 }
@@ -109,7 +104,7 @@
       }
       const job = new RunningJob({record, ...found, takenOver: true});
       this.jobs.set(job.jobId, job);
-      this.explain(job, '', 'taken-over', 'owner-failover');
+      noteStep(job, 'taken-over', 'owner-failover');
       this.dispatchAll(job);
     }
   }
@@ -178,8 +173,8 @@
 
   /** Steps in the life of a job, while they are kept. */
   explainJob(jobId: string): ExplainReply {
-    const steps: readonly ExplainStep[] | undefined =
-      this.jobs.get(jobId)?.steps ?? this.options.explainStore.get(jobId);
+    const steps =
+      this.jobs.get(jobId)?.steps ?? this.options.explanations.get(jobId);
     if (steps !== undefined) return {type: 'steps', jobId, steps};
     return noRecordReply(jobId, this.options.state, Date.now());
   }
@@ -208,15 +203,18 @@
     const answer = job.fail(failure);
     if (answer === undefined) return;
     const step = failure.code === 'cancelled' ? 'cancelled' : 'refused';
-    this.explain(job, '', step, failure.code);
+    noteStep(job, step, failure.code);
     this.options.scheduler.cancel(job, answer);
     void this.settle(job, answer);
   }
 
   private async admit(req: SubmitToOwner): Promise<Admitted> {
     const admitted = await this.admission.admit(req);
-    if (admitted.type === 'reply') return admitted;
     const {jobId} = req;
+    if (admitted.type === 'reply') {
+      this.options.explanations.noteRefusal(jobId, admitted.verdict);
+      return admitted;
+    }
     const record = this.options.state.get(jobId);
     if (record === undefined || this.released) {
       return {type: 'reply', reply: notOwnerReply(jobId)};
@@ -229,7 +227,7 @@
     });
     this.jobs.set(jobId, job);
     this.options.metrics.increment('jobs.admitted', 1, {team: record.team});
-    this.explain(job, '', 'admitted', 'admitted');
+    noteStep(job, 'admitted', admitted.verdict.reason);
     this.dispatchAll(job);
     return admitted;
   }
@@ -246,8 +244,8 @@
       job.release();
       return;
     }
-    this.explain(job, '', 'answered', stored.outcome);
-    this.options.explainStore.put(job.jobId, job.steps);
+    noteStep(job, 'answered', stored.outcome);
+    this.options.explanations.put(job.jobId, job.steps);
     this.options.metrics.increment('jobs.answered', 1, {
       team: job.record.team,
       outcome: stored.outcome,
@@ -286,13 +284,4 @@
       );
     }
   }
-
-  private explain(
-    job: RunningJob,
-    taskId: string,
-    step: ExplainStep['step'],
-    reason: string,
-  ): void {
-    job.explain({atMs: Date.now(), taskId, step, reason, detail: ''});
-  }
 }
--- a/packages/entry/src/jobs/task_scheduler.ts
+++ b/packages/entry/src/jobs/task_scheduler.ts
@@ -38,8 +38,8 @@
 
 /** Accepts tasks and runs them on upstreams. */
 export abstract class TaskScheduler {
-  /** Decides whether a new job may enter; a problem when it may not. */
-  abstract admit(req: AdmissionRequest): Problem | undefined;
+  /** Decides whether a new job may enter; with a problem when it may not. */
+  abstract admit(req: AdmissionRequest): Promise<AdmissionVerdict>;
   abstract schedule(task: ScheduledTask): void;
   /** Resumes a task that an earlier owner may have started. */
   abstract resume(task: ScheduledTask): void;
@@ -47,6 +47,14 @@
   abstract cancel(job: RunningJob, answer: JobAnswer): void;
 }
 
+/** Verdict about a job; `reason` and `answer` go into its explanation. */
+export interface AdmissionVerdict {
+  readonly problem?: Problem;
+  readonly reason: string;
+  /** Written answer that decided, as `team.section.key`. */
+  readonly answer?: string;
+}
+
 /** A job that asks for admission. */
 export interface AdmissionRequest {
   readonly jobId: string;
--- a/packages/entry/src/upstreams/upstream_pool.ts
+++ b/packages/entry/src/upstreams/upstream_pool.ts
@@ -2,6 +2,7 @@
 import {CandidateIndex} from '@mustardferry/decisions';
 import {UpstreamLink} from '@mustardferry/links';
 import {
+  type Resources,
   type UpstreamAnnouncement,
   type UpstreamId,
   upstreamKey,
@@ -26,14 +27,47 @@
   private readonly announcements = new Map<string, UpstreamAnnouncement>();
   private readonly links = new Map<string, UpstreamLink>();
   private readonly leaving = new Set<string>();
+  private readonly capacities = new Map<string, readonly Resources[]>();
+  private removedAtMs = Date.now();
 
   constructor(private readonly options: UpstreamPoolOptions) {}
 
+  /**
+   * When an upstream was last lost, or the start of this instance: soon after
+   * it, a missing upstream may be about to announce itself.
+   */
+  get lastRemovalAtMs(): number {
+    return this.removedAtMs;
+  }
+
+  /** Distinct capacities of the upstreams that offer a kind. */
+  capacitiesFor(kind: string): readonly Resources[] {
+    let known = this.capacities.get(kind);
+    if (known === undefined) {
+      const distinct = new Map<string, Resources>();
+      for (const [key, {kinds, capacity}] of this.announcements) {
+        if (this.leaving.has(key) || !kinds.includes(kind)) continue;
+        distinct.set(JSON.stringify(capacity), capacity);
+      }
+      known = [...distinct.values()];
+      this.capacities.set(kind, known);
+    }
+    return known;
+  }
+
+  /** Limits the tasks that run at once on an upstream; 0 stops new work. */
+  setAllowance(key: string, allowance: number): void {
+    const available = allowance > 0 && !this.leaving.has(key);
+    this.candidates.setAvailable(key, available);
+    this.candidates.setLimit(key, allowance);
+  }
+
   /** Adds an upstream that may be used from now on. */
   add(announcement: UpstreamAnnouncement): void {
     const key = upstreamKey(announcement);
     this.announcements.set(key, announcement);
     this.leaving.delete(key);
+    this.capacities.clear();
     this.candidates.add({
       key,
       worker: announcement.worker,
@@ -48,6 +82,8 @@
     const key = upstreamKey(id);
     if (!this.announcements.has(key)) return;
     this.leaving.add(key);
+    this.capacities.clear();
+    this.removedAtMs = Date.now();
     this.candidates.setAvailable(key, false);
   }
 
--- a/packages/entry/src/upstreams/upstream_service.ts
+++ b/packages/entry/src/upstreams/upstream_service.ts
@@ -16,6 +16,7 @@
 } from '@mustardferry/model';
 import type {Logger, Metrics} from '@mustardferry/runtime';
 
+import type {UpstreamMonitor} from '../dispatch/upstream_monitor.js';
 import {fail} from '../http/problems.js';
 import type {PeerNetwork} from '../peers/peer_network.js';
 import type {SlotService} from '../slots/slot_service.js';
@@ -27,6 +28,7 @@
   readonly network: PeerNetwork;
   readonly pool: UpstreamPool;
   readonly slots: SlotService;
+  readonly monitor: UpstreamMonitor;
   readonly wake: () => void;
   readonly logger: Logger;
   readonly metrics: Metrics;
@@ -130,11 +132,12 @@
   }
 
   private onEvent({type, announcement}: UpstreamEvent): void {
-    const {pool, slots, logger, wake} = this.options;
+    const {pool, slots, monitor, logger, wake} = this.options;
     const key = upstreamKey(announcement);
     logger.info(`upstream-${type}`, {upstream: key});
     if (type === 'available') {
       pool.add(announcement);
+      monitor.add(key, announcement.capacity.slots);
       slots.addWorker(announcement);
       wake();
       return;
@@ -142,6 +145,7 @@
     pool.stopNewWork(announcement);
     slots.removeWorker(key);
     pool.removeIfIdle(key);
+    if (type === 'expired') monitor.remove(key);
   }
 
   private expire(): void {
