--- a/packages/coordination/src/control/answers_check.ts
+++ b/packages/coordination/src/control/answers_check.ts
@@ -51,10 +51,12 @@
 export function refuseAnswers(
   command: AcceptAnswersCommand,
   answers: ReadonlyMap<string, TeamAnswers>,
+  index: number,
 ): FirstControlResult | undefined {
   const current = answers.get(command.team);
   const revision = current?.revision ?? 0;
-  if (command.baseRevision !== revision) {
+  // Commands of one log entry share its index, and a revision names one change.
+  if (command.baseRevision !== revision || revision === index) {
     if (current === undefined) {
       const detail = `${command.team} has no answers`;
       return invalid('no-such-revision', detail);
--- a/packages/coordination/src/control/control_state.ts
+++ b/packages/coordination/src/control/control_state.ts
@@ -184,7 +184,7 @@
     index: number,
   ): FirstControlResult {
     const {team, text, policy, operator, requestId} = command;
-    const refusal = refuseAnswers(command, this.answersByTeam);
+    const refusal = refuseAnswers(command, this.answersByTeam, index);
     const result = refusal ?? {outcome: 'accepted', revision: index};
     this.recordChange(command, result);
     if (refusal === undefined) {
--- a/packages/coordination/tests/control/control_state.test.ts
+++ b/packages/coordination/tests/control/control_state.test.ts
@@ -119,6 +119,13 @@
     expect(Object.isFrozen(before.teams)).to.equal(true);
   });
 
+  it('gives one revision to one change when a log entry carries two', () => {
+    const state = new ControlState();
+    state.apply(accept('r1'), 7);
+    const second = state.apply(accept('r2', {baseRevision: 7}), 7);
+    expect(second.outcome).to.equal('conflict');
+  });
+
   it('keeps draining over a restart, so that a command never reverts', () => {
     const {state} = run([
       register('i1', 'x'),
