--- a/packages/coordination/src/control/audit_tail.ts
+++ b/packages/coordination/src/control/audit_tail.ts
@@ -56,6 +56,11 @@
     };
   }
 
+  /** All entries in memory. */
+  all(): AuditPage {
+    return this.snapshot();
+  }
+
   snapshot(): AuditTailSnapshot {
     return {
       previousHash: this.previousHash,
--- a/packages/coordination/src/control/control_state.ts
+++ b/packages/coordination/src/control/control_state.ts
@@ -164,6 +164,11 @@
     return this.audit.page(after, limit);
   }
 
+  /** All audit entries in memory. */
+  auditTail(): AuditPage {
+    return this.audit.all();
+  }
+
   /** Applies a request id once and records its result. */
   private once(
     command: OperatorCommand,
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -1,4 +1,5 @@
 export {MAX_ANSWERS_LENGTH} from './control/answers_check.js';
+export {archiveAudit, AuditArchive} from './control/audit_archive.js';
 export {
   type AuditContent,
   auditHash,
@@ -9,7 +10,6 @@
 export {
   type AbandonGroupCommand,
   type Abandonment,
-  ABSENT_INCARNATION,
   type AcceptAnswersCommand,
   type ChangeOrigin,
   type ControlCommand,
@@ -46,6 +46,17 @@
 } from './records/record_messages.js';
 export {DEFAULT_MAX_RECORDS, RecordsState} from './records/records_state.js';
 export {StateMachine} from './state_machine.js';
+export {
+  DiskLogStorage,
+  type DiskLogStorageOptions,
+} from './storage_adapter/disk_log_storage.js';
+export {JournalAuditArchive} from './storage_adapter/journal_audit_archive.js';
+export type {
+  StoredEntry,
+  StoredLogContent,
+  StoredMemberId,
+  StoredSnapshot,
+} from './storage_adapter/stored_log.js';
 export type {
   AnnounceResult,
   ObservedUsage,
--- a/packages/storage/src/journal.ts
+++ b/packages/storage/src/journal.ts
@@ -114,10 +114,17 @@
   }
 
   /** Records as stored now, oldest first. */
-  async readAll(): Promise<readonly JournalRecord[]> {
-    const records: JournalRecord[] = [];
-    await this.task(() => this.writer.read(record => records.push(record)));
-    return records;
+  readAll(): Promise<readonly JournalRecord[]> {
+    return this.read(this.firstIndex, Infinity);
+  }
+
+  /** At most `limit` records from a sequence on, oldest first. */
+  async read(from: number, limit: number): Promise<readonly JournalRecord[]> {
+    let found: readonly JournalRecord[] = [];
+    await this.task(async () => {
+      found = await this.writer.read(from, limit);
+    });
+    return found;
   }
 
   /** Waits for earlier operations and closes the file. */
--- a/packages/storage/src/journal_segments.ts
+++ b/packages/storage/src/journal_segments.ts
@@ -44,6 +44,15 @@
   return `${folder}/${String(first).padStart(16, '0')}.journal`;
 }
 
+function firstOf(path: string): number {
+  return Number(path.slice(-'0000000000000000.journal'.length, -8));
+}
+
+/** A segment that was not read yet, by its name and that of the next one. */
+export function uncheckedSegment(path: string, follower: string): Segment {
+  return {path, first: firstOf(path), next: firstOf(follower), bytes: 0};
+}
+
 /** Paths of the segments, oldest first. */
 export async function listSegments(
   files: FileSystem,
@@ -84,7 +93,7 @@
   onRecord: (record: JournalRecord) => void,
 ): Promise<SegmentScan> {
   const content = Buffer.from(await files.readFile(path));
-  const named = Number(path.slice(-'0000000000000000.journal'.length, -8));
+  const named = firstOf(path);
   const torn = (at: number, next: number): SegmentScan => {
     if (!newest) {
       throw new JournalCorruptError(path, at, 'synced record is damaged');
--- a/packages/storage/src/segment_writer.ts
+++ b/packages/storage/src/segment_writer.ts
@@ -13,6 +13,7 @@
   type Segment,
   segmentPath,
   type TornTail,
+  uncheckedSegment,
 } from './journal_segments.js';
 import {JournalClosedError, JournalCorruptError} from './storage_errors.js';
 
@@ -23,6 +24,12 @@
   readonly folder: string;
   /** Size from which a new segment file is started. Default 16 MiB. */
   readonly segmentBytes?: number;
+  /**
+   * Which segments are read while the journal is opened. With `newest`, the
+   * older ones are checked when they are read, and `onRecord` misses them.
+   * Default `all`.
+   */
+  readonly checkOnOpen?: 'all' | 'newest';
   /** Called for each record, oldest first, while the journal is opened. */
   readonly onRecord?: (record: JournalRecord) => void;
 }
@@ -92,7 +99,12 @@
     const segments: Segment[] = [];
     let torn: TornTail | undefined;
     for (const [i, path] of paths.entries()) {
-      const newest = i === paths.length - 1;
+      const follower = paths[i + 1];
+      if (follower !== undefined && options.checkOnOpen === 'newest') {
+        segments.push(uncheckedSegment(path, follower));
+        continue;
+      }
+      const newest = follower === undefined;
       const scan = await scanSegment(files, path, newest, onRecord);
       const expected = segments.at(-1)?.next ?? scan.segment.first;
       if (scan.segment.first !== expected) {
@@ -130,11 +142,22 @@
     await files.syncFolder(folder);
   }
 
-  /** Calls `onRecord` for each record, oldest first. */
-  async read(onRecord: (record: JournalRecord) => void): Promise<void> {
-    for (const segment of this.segments) {
-      await scanSegment(this.options.files, segment.path, false, onRecord);
+  /** Reads at most `limit` records from a sequence on, oldest first. */
+  async read(from: number, limit: number): Promise<readonly JournalRecord[]> {
+    const found: JournalRecord[] = [];
+    for (const {path, first, next} of this.segments) {
+      if (next <= from) continue;
+      if (found.length >= limit) break;
+      const add = (record: JournalRecord) => {
+        if (record.index >= from && found.length < limit) found.push(record);
+      };
+      const {segment} = await scanSegment(this.options.files, path, false, add);
+      if (segment.first !== first || segment.next !== next) {
+        const reason = `records up to ${next - 1} expected`;
+        throw new JournalCorruptError(path, segment.bytes, reason);
+      }
     }
+    return found;
   }
 
   close(): Promise<void> {
