--- a/packages/coordination/src/control/control_state.ts
+++ b/packages/coordination/src/control/control_state.ts
@@ -164,6 +164,11 @@
     return this.audit.page(after, limit);
   }
 
+  /** All audit entries in memory. */
+  auditTail(): AuditPage {
+    return this.audit.all();
+  }
+
   /** Applies a request id once and records its result. */
   private once(
     command: OperatorCommand,
@@ -184,7 +189,7 @@
     index: number,
   ): FirstControlResult {
     const {team, text, policy, operator, requestId} = command;
-    const refusal = refuseAnswers(command, this.answersByTeam);
+    const refusal = refuseAnswers(command, this.answersByTeam, index);
     const result = refusal ?? {outcome: 'accepted', revision: index};
     this.recordChange(command, result);
     if (refusal === undefined) {
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -1,4 +1,5 @@
 export {MAX_ANSWERS_LENGTH} from './control/answers_check.js';
+export {archiveAudit, AuditArchive} from './control/audit_archive.js';
 export {
   type AuditContent,
   auditHash,
@@ -110,6 +111,17 @@
 export {durableIndex, isAcknowledged} from './replicated_log/replication.js';
 export {step} from './replicated_log/step.js';
 export {StateMachine} from './state_machine.js';
+export {
+  DiskLogStorage,
+  type DiskLogStorageOptions,
+} from './storage_adapter/disk_log_storage.js';
+export {JournalAuditArchive} from './storage_adapter/journal_audit_archive.js';
+export type {
+  StoredEntry,
+  StoredLogContent,
+  StoredMemberId,
+  StoredSnapshot,
+} from './storage_adapter/stored_log.js';
 export type {
   AnnounceResult,
   ObservedUsage,
