Benchmark decisions and look estimates up once per kind

Building a text key for each estimate took a quarter of the routing time. Estimates of one kind now share one look-up, and a decision estimates at most 12 upstreams.

--- /dev/null
+++ b/packages/decisions/src/benchmarks/main.ts
@@ -0,0 +1,125 @@
+/** Prints the cost of decisions and the shares reached in a simulation. */
+import {keyMovement, slotBalance} from '../homing/key_movement.js';
+import {FirstInFirstOutSharing} from '../sharing/first_in_first_out_sharing.js';
+import {WeightedFairSharing} from '../sharing/weighted_fair_sharing.js';
+import {allocatorCost} from './allocator_cost.js';
+import {decisionCost} from './decision_cost.js';
+import {
+  ShareSimulation,
+  type ShareSimulationOptions,
+} from './share_simulation.js';
+
+const UPSTREAMS = [30, 300, 1_250];
+const TEAMS = [2, 20, 190];
+const SHARES = [40, 30, 20, 10];
+const RUN_MS = [60, 150, 300, 600];
+const WARM_UP_MS = 2_000;
+const WINDOW_MS = 10_000;
+const BORROW_MS = 5_000;
+const MAX_RETURN_MS = 5_000;
+const SEEDS = [1, 2, 3];
+
+function print(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
+
+function base(seed: number): ShareSimulationOptions {
+  return {
+    instances: 6,
+    workers: 30,
+    shares: SHARES,
+    runMs: RUN_MS,
+    seed,
+    makeSharing: () => new WeightedFairSharing(),
+    isActive: () => true,
+  };
+}
+
+function printCost(): void {
+  print('decision cost: dequeue, route, charge, release');
+  print('upstreams  teams  us/decision  started  waited');
+  for (const upstreams of UPSTREAMS) {
+    for (const teams of TEAMS) {
+      const cost = decisionCost(upstreams, teams);
+      const columns = [
+        String(upstreams).padStart(9),
+        String(teams).padStart(6),
+        cost.microseconds.toFixed(2).padStart(12),
+        cost.started.toFixed(3).padStart(8),
+        cost.waited.toFixed(3).padStart(7),
+      ];
+      print(columns.join(' '));
+    }
+  }
+}
+
+function sharesOf(options: ShareSimulationOptions): readonly number[] {
+  const simulation = new ShareSimulation(options);
+  while (simulation.now < WARM_UP_MS) simulation.step();
+  simulation.received.fill(0);
+  while (simulation.now < WARM_UP_MS + WINDOW_MS) simulation.step();
+  simulation.checkInvariants();
+  const total = simulation.received.reduce((sum, slots) => sum + slots, 0);
+  return simulation.received.map(slots => (100 * slots) / total);
+}
+
+function printShares(name: string, options: ShareSimulationOptions): void {
+  const shares = sharesOf(options);
+  const worst = Math.max(
+    ...shares.map(
+      (share, team) => Math.abs(share / (SHARES[team] ?? 1) - 1) * 100,
+    ),
+  );
+  const text = shares.map(share => share.toFixed(2)).join(' / ');
+  print(
+    `${name} seed ${options.seed}: received ${text} of ${SHARES.join(' / ')}, ` +
+      `largest relative deviation ${worst.toFixed(2)}%`,
+  );
+}
+
+/** Time until the team that was idle holds 95% of its share. */
+function returnTimeMs(seed: number, team: number): number {
+  const wakesAtMs = WARM_UP_MS + BORROW_MS;
+  const simulation = new ShareSimulation({
+    ...base(seed),
+    isActive: (each, now) => each !== team || now >= wakesAtMs,
+  });
+  while (simulation.now < wakesAtMs) simulation.step();
+  const slots = 30 * 8 * ((SHARES[team] ?? 0) / 100);
+  while (simulation.now < wakesAtMs + MAX_RETURN_MS) {
+    simulation.step();
+    if ((simulation.running()[team] ?? 0) >= 0.95 * slots) break;
+  }
+  return simulation.now - wakesAtMs;
+}
+
+function main(): void {
+  const before = ['bavaria-south', 'pakistan-central', 'third'];
+  const moved = keyMovement(before, [...before, 'fourth'], 100_000);
+  print(
+    `keys moved from 3 to 4 data centres: fixed slots ` +
+      `${(moved.slots * 100).toFixed(2)}%, modulo ` +
+      `${(moved.modulo * 100).toFixed(2)}%`,
+  );
+  const balance = slotBalance(before).map(part => (part * 100).toFixed(1));
+  print(`slots by data centre: ${balance.join('% / ')}%`);
+  printCost();
+  for (const workers of UPSTREAMS) {
+    const {fullMs, steadyMs} = allocatorCost(workers, 16, 190);
+    print(
+      `allocator, ${workers} workers, 16 instances, 190 teams: ` +
+        `first ${fullMs.toFixed(2)} ms, then ${steadyMs.toFixed(2)} ms`,
+    );
+  }
+  for (const seed of SEEDS) printShares('weighted fair', base(seed));
+  printShares('first in, first out', {
+    ...base(1),
+    makeSharing: () => new FirstInFirstOutSharing(),
+  });
+  for (const team of SHARES.keys()) {
+    const times = SEEDS.map(seed => returnTimeMs(seed, team));
+    print(`team-${team} gets its share back after ${times.join(', ')} ms`);
+  }
+}
+
+main();
--- /dev/null
+++ b/packages/decisions/src/benchmarks/simulated_instance.ts
@@ -0,0 +1,181 @@
+/** An entry instance in the simulation: its queue, credits and running tasks. */
+import type {Policy, Resources} from '@mustardferry/model';
+import {type RandomGenerator} from 'pure-rand';
+
+import {IndexedHeap} from '../common/heap.js';
+import {randomFraction} from '../common/random.js';
+import {
+  CandidateIndex,
+  type CandidateUpstream,
+} from '../routing/candidate_index.js';
+import {ExpectedEndRouting} from '../routing/expected_end_routing.js';
+import {RunTimeEstimator} from '../routing/run_time_estimator.js';
+import type {QueuedTask, SharingPolicy} from '../sharing/sharing_policy.js';
+import {CreditLedger, type ReturnedCredits} from '../slots/credit_ledger.js';
+import type {InstanceAllocation, InstanceDemand} from '../slots/slot_types.js';
+
+/** A task that runs in the simulation. */
+export interface SimulatedRun {
+  readonly task: QueuedTask;
+  readonly upstream: string;
+  readonly startedAtMs: number;
+  readonly endAtMs: number;
+  heapIndex: number;
+}
+
+interface Held {
+  readonly task: QueuedTask;
+  readonly untilMs: number;
+}
+
+/** True run time of a task on an upstream, in milliseconds. */
+export type RunTime = (task: QueuedTask, upstream: string) => number;
+
+/** One simulated instance. */
+export class SimulatedInstance {
+  readonly ledger = new CreditLedger();
+  private readonly estimator = new RunTimeEstimator();
+  private readonly routing = new ExpectedEndRouting(this.estimator);
+  private readonly candidates = new CandidateIndex();
+  private readonly runs = new IndexedHeap<SimulatedRun>(
+    (a, b) => a.endAtMs < b.endAtMs,
+  );
+  private waiting: Held[] = [];
+  private readonly keys: readonly string[];
+
+  constructor(
+    readonly name: string,
+    readonly sharing: SharingPolicy,
+    policy: Policy,
+    workers: readonly CandidateUpstream[],
+    private readonly runTime: RunTime,
+  ) {
+    sharing.setPolicy(policy);
+    this.keys = workers.map(({key}) => key);
+    for (const worker of workers) this.candidates.add(worker);
+  }
+
+  /** Ends and starts tasks; returns freed credits and ended runs. */
+  tick(now: number): {
+    readonly returned: readonly ReturnedCredits[];
+    readonly ended: readonly SimulatedRun[];
+  } {
+    const returned: ReturnedCredits[] = [];
+    const ended: SimulatedRun[] = [];
+    for (let run = this.runs.peek(); run; run = this.runs.peek()) {
+      if (run.endAtMs > now) break;
+      this.runs.pop();
+      ended.push(run);
+      const credit = this.end(run, now);
+      if (credit) returned.push(credit);
+    }
+    this.start(now);
+    return {returned, ended};
+  }
+
+  apply(allocation: InstanceAllocation): readonly ReturnedCredits[] {
+    const keep = allocation.keep ?? Infinity;
+    const returned = this.ledger.keepAtMost(keep, this.keys);
+    for (const {worker} of returned) this.syncCredits(worker);
+    this.sharing.setEntitlements(allocation.entitlements);
+    return returned;
+  }
+
+  granted(worker: string, credits: number): void {
+    this.ledger.granted(worker, credits);
+    this.syncCredits(worker);
+  }
+
+  setCapacity(perSlot: Resources): void {
+    const {held} = this.ledger.totals;
+    this.sharing.setCapacity({
+      slots: held,
+      processors: perSlot.processors * held,
+      memoryMb: perSlot.memoryMb * held,
+      accelerators: perSlot.accelerators * held,
+    });
+  }
+
+  demand(): InstanceDemand {
+    const teams = this.sharing.usage().map(({team, queued, running}) => ({
+      team,
+      demand: {
+        slots: queued.slots + running.slots,
+        processors: queued.processors + running.processors,
+        memoryMb: queued.memoryMb + running.memoryMb,
+        accelerators: queued.accelerators + running.accelerators,
+      },
+    }));
+    return {instance: this.name, weight: 1, teams};
+  }
+
+  private end(run: SimulatedRun, now: number): ReturnedCredits | undefined {
+    const {task, upstream} = run;
+    this.candidates.ended(upstream, task.taskId);
+    this.sharing.release(task.taskId, now);
+    const runMs = run.endAtMs - run.startedAtMs;
+    const {team, kind} = task;
+    const endedAtMs = run.endAtMs;
+    this.estimator.observe({team, kind, upstream, runMs, endedAtMs}, now);
+    const factor = this.estimator.speedFactor(upstream);
+    const samples = this.estimator.upstreamSamples(upstream);
+    this.candidates.setSpeed(upstream, factor, samples);
+    const returned = this.ledger.free(upstream);
+    this.syncCredits(upstream);
+    return returned;
+  }
+
+  private syncCredits(worker: string): void {
+    this.candidates.setCredits(worker, this.ledger.of(worker).held);
+  }
+
+  private start(now: number): void {
+    const due = this.waiting.filter(({untilMs}) => untilMs <= now);
+    this.waiting = this.waiting.filter(({untilMs}) => untilMs > now);
+    for (const {task} of due) {
+      if (!this.route(task, now, true)) this.sharing.enqueue(task, now);
+    }
+    while (this.candidates.freeCredits > 0) {
+      const next = this.sharing.next(now);
+      if (!next) return;
+      if (!this.route(next.task, now, false)) {
+        this.sharing.enqueue(next.task, now);
+        return;
+      }
+    }
+  }
+
+  private route(task: QueuedTask, now: number, waited: boolean): boolean {
+    const decision = this.routing.choose(
+      {...task, waited},
+      this.candidates,
+      now,
+    );
+    if (decision.type === 'none') return false;
+    if (decision.type === 'wait') {
+      this.waiting.push({task, untilMs: decision.untilMs});
+      return true;
+    }
+    const {upstream, expectedRunMs} = decision;
+    if (!this.ledger.use(upstream)) return false;
+    const expectedEndMs = now + expectedRunMs;
+    this.candidates.started(
+      upstream,
+      task.taskId,
+      task.resources,
+      expectedEndMs,
+    );
+    this.sharing.charge({...task, expectedRunMs}, now);
+    const endAtMs = now + this.runTime(task, upstream);
+    this.runs.push({task, upstream, startedAtMs: now, endAtMs, heapIndex: -1});
+    return true;
+  }
+}
+
+/** A logarithmic normal factor with median 1 (Box and Muller, 1958). */
+export function lognormal(rng: RandomGenerator, sigma: number): number {
+  const u = 1 - randomFraction(rng);
+  const v = randomFraction(rng);
+  const z = Math.sqrt(-2 * Math.log(u)) * Math.cos(2 * Math.PI * v);
+  return Math.exp(sigma * z);
+}
--- a/packages/decisions/src/common/lru_map.ts
+++ b/packages/decisions/src/common/lru_map.ts
@@ -4,7 +4,11 @@
 export class LruMap<V> {
   private readonly entries = new Map<string, V>();
 
-  constructor(private readonly maxEntries: number) {}
+  /** `dropped` is told each value that is forgotten. */
+  constructor(
+    private readonly maxEntries: number,
+    private readonly dropped: (value: V) => void = () => {},
+  ) {}
 
   get size(): number {
     return this.entries.size;
@@ -34,8 +38,9 @@
   }
 
   private dropOldest(): void {
-    for (const key of this.entries.keys()) {
+    for (const [key, value] of this.entries) {
       this.entries.delete(key);
+      this.dropped(value);
       return;
     }
   }
--- a/packages/decisions/src/routing/candidate_index.ts
+++ b/packages/decisions/src/routing/candidate_index.ts
@@ -41,7 +41,10 @@
   busyBucket = 0;
   readonly tasks = new Map<string, RunningTask>();
 
-  constructor(readonly upstream: CandidateUpstream) {
+  constructor(
+    readonly upstream: CandidateUpstream,
+    readonly group: CandidateGroup,
+  ) {
     this.free = upstream.capacity;
   }
 
@@ -97,16 +100,17 @@
   /** Adds an upstream without credits; a known key is left as it is. */
   add(upstream: CandidateUpstream): void {
     if (this.candidates.has(upstream.key)) return;
-    const candidate = new Candidate(upstream);
+    const group = this.groupFor(upstream.kinds);
+    const candidate = new Candidate(upstream, group);
     this.candidates.set(upstream.key, candidate);
-    this.groupFor(upstream.kinds).add(candidate);
+    group.add(candidate);
   }
 
   remove(key: string): void {
     const candidate = this.candidates.get(key);
     if (!candidate) return;
     this.credits -= candidate.freeCredits;
-    this.groupFor(candidate.upstream.kinds).remove(candidate);
+    candidate.group.remove(candidate);
     this.candidates.delete(key);
   }
 
@@ -176,7 +180,7 @@
     const before = candidate.freeCredits;
     apply(candidate);
     this.credits += candidate.freeCredits - before;
-    this.groupFor(candidate.upstream.kinds).place(candidate);
+    candidate.group.place(candidate);
   }
 
   private groupFor(kinds: readonly string[]): CandidateGroup {
--- a/packages/decisions/src/routing/expected_end_routing.ts
+++ b/packages/decisions/src/routing/expected_end_routing.ts
@@ -12,7 +12,7 @@
   type RoutingDecision,
   RoutingPolicy,
 } from './routing_policy.js';
-import type {RunTimeEstimator} from './run_time_estimator.js';
+import type {KindEstimates, RunTimeEstimator} from './run_time_estimator.js';
 
 /** Options of the policy. */
 export interface ExpectedEndRoutingOptions {
@@ -23,9 +23,9 @@
 }
 
 /** Candidates estimated in one decision; keeps its cost independent of size. */
-const MAX_ESTIMATED = 24;
+const MAX_ESTIMATED = 12;
 /** Candidates estimated in one speed bucket. */
-const MAX_PER_BUCKET = 8;
+const MAX_PER_BUCKET = 4;
 /** Candidates passed over in one decision as too small or excluded. */
 const MAX_EXAMINED = 256;
 /** Ends within this factor of the best are equal: estimates are not finer. */
@@ -96,14 +96,9 @@
     return {type: 'start', upstream, expectedRunMs: runMs, reason};
   }
 
-  private estimated(task: RoutableTask, candidate: Candidate): Estimated {
-    const {p50Ms} = this.estimator.estimate({
-      team: task.team,
-      kind: task.kind,
-      upstream: candidate.upstream.key,
-      declaredMs: task.expectedRunMs,
-    });
-    return {candidate, runMs: p50Ms};
+  private estimates(task: RoutableTask): KindEstimates {
+    const {team, kind, expectedRunMs} = task;
+    return this.estimator.estimatesOf(team, kind, expectedRunMs);
   }
 
   /** An upstream of unknown speed, for tasks that are not urgent. */
@@ -117,7 +112,9 @@
       for (let step = 0; step < Math.min(list.length, MAX_PER_BUCKET); step++) {
         const candidate = list[(this.turn + step) % list.length];
         if (!candidate || candidate.running >= this.maxExplorations) continue;
-        if (isEligible(task, candidate)) return this.estimated(task, candidate);
+        if (!isEligible(task, candidate)) continue;
+        const runMs = this.estimates(task).p50Ms(candidate.upstream.key);
+        return {candidate, runMs};
       }
     }
     return undefined;
@@ -130,6 +127,7 @@
     now: number,
     order: 'fastest' | 'slowest',
   ): readonly Estimated[] {
+    const estimates = this.estimates(task);
     const found: Estimated[] = [];
     let examined = 0;
     for (let step = 0; step < SPEED_BUCKETS; step++) {
@@ -142,7 +140,8 @@
           if (taken >= MAX_PER_BUCKET) break;
           if (examined++ >= MAX_EXAMINED && found.length > 0) return found;
           if (!candidate || !this.usable(task, candidate, now)) continue;
-          found.push(this.estimated(task, candidate));
+          const runMs = estimates.p50Ms(candidate.upstream.key);
+          found.push({candidate, runMs});
           taken++;
         }
         if (found.length >= MAX_ESTIMATED) return found;
@@ -227,6 +226,7 @@
     const gainMs = Math.max(MIN_WAIT_GAIN_MS, this.minWaitGain * best.runMs);
     let endMs = best.runMs - gainMs;
     let chosen: Candidate | undefined;
+    const estimates = this.estimates(task);
     const last = speedBucket(best.candidate.speedFactor);
     for (const group of candidates.groupsOf(task.kind)) {
       for (let bucket = 0; bucket < last; bucket++) {
@@ -236,7 +236,7 @@
         if (this.isReserved(next, now)) continue;
         if (task.excluded?.has(next.upstream.key)) continue;
         const waitMs = next.nextFreeAtMs - now;
-        const totalMs = waitMs + this.estimated(task, next).runMs;
+        const totalMs = waitMs + estimates.p50Ms(next.upstream.key);
         if (totalMs >= endMs) continue;
         endMs = totalMs;
         chosen = next;
--- a/packages/decisions/src/routing/run_time_estimator.ts
+++ b/packages/decisions/src/routing/run_time_estimator.ts
@@ -55,6 +55,18 @@
   weight: number;
 }
 
+/** What is known about a kind. */
+interface KindModel {
+  readonly distribution: RunDistribution;
+  readonly pairs: Map<string, Offset>;
+}
+
+/** Estimates for one kind, for many upstreams in a row. */
+export interface KindEstimates {
+  /** Expected run time on an upstream in milliseconds. */
+  p50Ms(upstream: string): number;
+}
+
 const DEFAULT_AGE_HALF_LIFE_MS = 10_000;
 /** Reports with less weight than this, about 7 half-lives old, are dropped. */
 const MIN_REPORT_WEIGHT = 0.01;
@@ -78,15 +90,18 @@
 
 /** Estimator with bounded memory; the least recently used entries go first. */
 export class RunTimeEstimator {
-  private readonly kinds: LruMap<RunDistribution>;
+  private readonly kinds: LruMap<KindModel>;
   private readonly upstreams: LruMap<Offset>;
-  private readonly pairs: LruMap<Offset>;
+  private readonly maxPairs: number;
   private readonly ageHalfLifeMs: number;
+  private pairCount = 0;
 
   constructor(options: RunTimeEstimatorOptions = {}) {
-    this.kinds = new LruMap(options.maxKinds ?? 1_024);
+    this.kinds = new LruMap(options.maxKinds ?? 1_024, ({pairs}) => {
+      this.pairCount -= pairs.size;
+    });
     this.upstreams = new LruMap(options.maxUpstreams ?? 16_384);
-    this.pairs = new LruMap(options.maxPairs ?? 65_536);
+    this.maxPairs = options.maxPairs ?? 65_536;
     this.ageHalfLifeMs = options.ageHalfLifeMs ?? DEFAULT_AGE_HALF_LIFE_MS;
   }
 
@@ -96,15 +111,17 @@
     const weight = 2 ** (-ageMs / this.ageHalfLifeMs);
     if (!(run.runMs >= 0) || weight < MIN_REPORT_WEIGHT) return;
     const x = Math.log(Math.max(MIN_RUN_MS, run.runMs));
-    const kindKey = `${run.team}/${run.kind}`;
-    const kind = this.kinds.ensure(kindKey, () => new RunDistribution(x));
+    const model = this.kinds.ensure(`${run.team}/${run.kind}`, () => ({
+      distribution: new RunDistribution(x),
+      pairs: new Map<string, Offset>(),
+    }));
+    const kind = model.distribution;
     const speed = this.upstreams.ensure(run.upstream, newOffset);
-    const pair = this.pairs.ensure(`${kindKey}@${run.upstream}`, newOffset);
+    const pair = this.pairOf(model, run.upstream);
     const clip = CLIP_SCALES * kind.scale;
     const bounded = (r: number) => Math.max(-clip, Math.min(clip, r));
     const residual = x - kind.location - speed.value;
-    const trust = pair.weight / (pair.weight + PAIR_TRUST);
-    kind.observe(residual - trust * pair.value, weight);
+    kind.observe(residual - trusted(pair), weight);
     learn(kind, bounded(residual), KIND_RATE, weight);
     if (kind.weight > 1) {
       const step = bounded(residual) - (SPEED_PRIOR * speed.value) / 64;
@@ -118,24 +135,37 @@
   estimate(question: RunQuestion): RunEstimate {
     const {declaredMs, upstream} = question;
     const speed = this.upstreams.get(upstream)?.value ?? 0;
-    const kindKey = `${question.team}/${question.kind}`;
-    const kind = this.kinds.get(kindKey);
-    if (!kind) {
+    const model = this.kinds.get(`${question.team}/${question.kind}`);
+    if (!model) {
       const p50Ms = declaredMs * Math.exp(speed);
       return {p50Ms, p95Ms: 3 * p50Ms, samples: 0, source: 'declared'};
     }
-    const pair = this.pairs.get(`${kindKey}@${upstream}`);
+    const {distribution, pairs} = model;
+    const pair = pairs.get(upstream);
     const samples = pair?.weight ?? 0;
-    const own = pair ? (pair.value * samples) / (samples + PAIR_TRUST) : 0;
-    const centre = kind.location + speed + own;
+    const centre = distribution.location + speed + trusted(pair);
     return {
-      p50Ms: Math.exp(centre + kind.quantile('p50')),
-      p95Ms: Math.exp(centre + kind.quantile('p95')),
+      p50Ms: Math.exp(centre + distribution.quantile('p50')),
+      p95Ms: Math.exp(centre + distribution.quantile('p95')),
       samples,
       source: samples >= PAIR_TRUST ? 'pair' : 'kind-and-speed',
     };
   }
 
+  /** The p50 estimates of a kind; looks the kind up once. */
+  estimatesOf(team: string, kind: string, declaredMs: number): KindEstimates {
+    const model = this.kinds.get(`${team}/${kind}`);
+    const centre = model
+      ? model.distribution.location + model.distribution.quantile('p50')
+      : Math.log(Math.max(MIN_RUN_MS, declaredMs));
+    return {
+      p50Ms: upstream => {
+        const speed = this.upstreams.get(upstream)?.value ?? 0;
+        return Math.exp(centre + speed + trusted(model?.pairs.get(upstream)));
+      },
+    };
+  }
+
   /** Run time at a quantile in milliseconds. */
   quantileMs(question: RunQuestion, quantile: RunQuantile): number {
     const estimate = this.estimate(question);
@@ -144,7 +174,7 @@
 
   /** Standard deviation of the logarithm of a kind's run times. */
   spread(team: string, kind: string): number {
-    return this.kinds.get(`${team}/${kind}`)?.scale ?? 1;
+    return this.kinds.get(`${team}/${kind}`)?.distribution.scale ?? 1;
   }
 
   /** Time factor of an upstream; 1 is average, 2 takes twice as long. */
@@ -159,9 +189,37 @@
 
   /** Typical run time of a kind on an average upstream, if it was measured. */
   kindMs(team: string, kind: string): number | undefined {
-    const found = this.kinds.get(`${team}/${kind}`);
+    const found = this.kinds.get(`${team}/${kind}`)?.distribution;
     return found && Math.exp(found.location + found.quantile('p50'));
   }
+
+  private pairOf(model: KindModel, upstream: string): Offset {
+    let pair = model.pairs.get(upstream);
+    if (!pair) {
+      pair = newOffset();
+      this.pairCount++;
+    } else model.pairs.delete(upstream);
+    // Set again, so that the order of the map is the order of use.
+    model.pairs.set(upstream, pair);
+    if (this.pairCount > this.maxPairs) this.dropPair();
+    return pair;
+  }
+
+  /** Forgets the oldest pair of the kind that was unused for longest. */
+  private dropPair(): void {
+    for (const {pairs} of this.kinds.values()) {
+      for (const upstream of pairs.keys()) {
+        pairs.delete(upstream);
+        this.pairCount--;
+        return;
+      }
+    }
+  }
+}
+
+/** Offset of a pair, weighted by the number of runs behind it. */
+function trusted(pair: Offset | undefined): number {
+  return pair ? (pair.value * pair.weight) / (pair.weight + PAIR_TRUST) : 0;
 }
 
 function newOffset(): Offset {
--- a/packages/decisions/src/slots/weighted_demand.ts
+++ b/packages/decisions/src/slots/weighted_demand.ts
@@ -12,8 +12,8 @@
   readonly demand: Resources;
 }
 
-/** Bisection steps; the level is exact to 2^-40 of its range. */
-const STEPS = 40;
+/** Bisection steps; the level is exact to 2^-24 of its range. */
+const STEPS = 24;
 const ROUNDS = RESOURCE_NAMES.length;
 
 function fits(
