Keep a task above its team's quota from blocking others

A task larger than the whole quota stayed at the head of its kind and held the tasks behind it forever. It is now set aside until the quota changes.

--- a/packages/decisions/src/sharing/kind_queue.ts
+++ b/packages/decisions/src/sharing/kind_queue.ts
@@ -17,6 +17,8 @@
 /** Queue with its totals kept up to date. */
 export class KindQueue {
   private readonly heap = new IndexedHeap<QueueEntry>(before);
+  /** Tasks larger than the whole quota; they must not block the others. */
+  private readonly oversized = new Set<QueueEntry>();
   private work = 0;
 
   constructor(
@@ -25,11 +27,11 @@
   ) {}
 
   get size(): number {
-    return this.heap.size;
+    return this.heap.size + this.oversized.size;
   }
 
   get workMs(): number {
-    return this.heap.size === 0 ? 0 : Math.max(0, this.work);
+    return this.size === 0 ? 0 : Math.max(0, this.work);
   }
 
   head(): QueueEntry | undefined {
@@ -41,9 +43,23 @@
     this.work += entry.task.expectedRunMs;
   }
 
-  remove(entry: QueueEntry): void {
-    if (entry.heapIndex < 0) return;
-    this.heap.remove(entry);
+  /** Removes an entry; false when it is not in this queue. */
+  remove(entry: QueueEntry): boolean {
+    if (entry.heapIndex >= 0) this.heap.remove(entry);
+    else if (!this.oversized.delete(entry)) return false;
     this.work -= entry.task.expectedRunMs;
+    return true;
+  }
+
+  /** Takes the head out of the order until the quota changes. */
+  setAsideHead(): void {
+    const entry = this.heap.pop();
+    if (entry) this.oversized.add(entry);
+  }
+
+  /** Puts the tasks that were set aside back into the order. */
+  restoreOversized(): void {
+    for (const entry of this.oversized) this.heap.push(entry);
+    this.oversized.clear();
   }
 }
--- a/packages/decisions/src/sharing/team_queue.ts
+++ b/packages/decisions/src/sharing/team_queue.ts
@@ -83,6 +83,11 @@
     return URGENCIES.reduce((sum, name) => sum + this.levels[name].tasks, 0);
   }
 
+  setQuota(quota: Resources): void {
+    this.quota = quota;
+    for (const queue of this.queues()) queue.restoreOversized();
+  }
+
   *queues(): Iterable<KindQueue> {
     for (const name of URGENCIES) yield* this.levels[name].kinds.values();
   }
@@ -116,8 +121,7 @@
     const {urgency, kind, resources} = entry.task;
     const level = this.levels[urgency];
     const queue = level.kinds.get(kind);
-    if (!queue || entry.heapIndex < 0) return;
-    queue.remove(entry);
+    if (!queue?.remove(entry)) return;
     level.tasks--;
     // Empty queues are dropped, so that kinds of the past cost no memory.
     if (queue.size === 0) level.kinds.delete(kind);
@@ -166,8 +170,11 @@
     let blocked: Blocked = 'empty';
     let best: Omit<Selection, 'aged'> | undefined;
     for (const queue of level.kinds.values()) {
-      const entry = queue.head();
-      if (!entry) continue;
+      const entry = this.headOf(queue);
+      if (!entry) {
+        if (blocked === 'empty' && queue.size > 0) blocked = 'quota';
+        continue;
+      }
       if (best && best.entry.task.targetAtMs <= entry.task.targetAtMs) continue;
       if (!this.withinQuota(entry.task.resources)) {
         if (blocked === 'empty') blocked = 'quota';
@@ -178,6 +185,16 @@
     return best ?? blocked;
   }
 
+  /** The first task that fits the quota when nothing of the team runs. */
+  private headOf(queue: KindQueue): QueueEntry | undefined {
+    let entry = queue.head();
+    while (entry && !fitsInto(entry.task.resources, this.quota)) {
+      queue.setAsideHead();
+      entry = queue.head();
+    }
+    return entry;
+  }
+
   private withinQuota(need: Resources): boolean {
     return fitsInto(addResources(this.running, need), this.quota);
   }
--- a/packages/decisions/src/sharing/weighted_fair_sharing.ts
+++ b/packages/decisions/src/sharing/weighted_fair_sharing.ts
@@ -69,7 +69,7 @@
     for (const {team, sharePercent, quota} of policy.teams) {
       const entry = this.team(team);
       entry.policyWeight = Math.max(MIN_WEIGHT, sharePercent / 100);
-      entry.quota = quota;
+      entry.setQuota(quota);
       this.setWeight(entry, this.weightOf(entry));
       if (entry.size > 0) this.join(entry, entry.pausedAtMs);
     }
