Track run-time quantiles in units of the scale

The p95 of a kind with little spread started at 1.15 in logarithms and moved down by 5% of a step per run: after 4,000 runs with spread 0.1 it was 10% too high. Smaller learning rates also lower the noise of the centre.

--- a/packages/decisions/src/routing/run_distribution.ts
+++ b/packages/decisions/src/routing/run_distribution.ts
@@ -20,7 +20,11 @@
 export class RunDistribution {
   /** Sum of the weights of all reports. */
   weight = 0;
-  private readonly offsets = {p50: 0, p95: 1.645 * INITIAL_SCALE};
+  /**
+   * In units of the scale, which converges much sooner than a quantile: the
+   * p95 moves down by only 5% of a step per report.
+   */
+  private readonly offsets = {p50: 0, p95: 1.645};
   private deviation = INITIAL_SCALE / SIGMA_PER_DEVIATION;
 
   /** `value` is the location: a logarithm of milliseconds. */
@@ -37,9 +41,8 @@
   }
 
   quantile(name: RunQuantile): number {
-    return name === 'p50'
-      ? this.offsets.p50
-      : Math.max(this.offsets.p50, this.offsets.p95);
+    const {p50, p95} = this.offsets;
+    return this.scale * (name === 'p50' ? p50 : Math.max(p50, p95));
   }
 
   /** Learns a residual relative to the location. */
@@ -48,9 +51,10 @@
       weight * Math.max(QUANTILE_RATE, 1 / (2 + Math.min(50, this.weight)));
     const clipped = Math.min(Math.abs(residual), 3 * this.scale);
     this.deviation += rate * (clipped - this.deviation);
+    const standard = residual / this.scale;
     for (const name of ['p50', 'p95'] as const) {
-      const below = residual <= this.offsets[name] ? 1 : 0;
-      this.offsets[name] += 2 * rate * this.scale * (LEVELS[name] - below);
+      const below = standard <= this.offsets[name] ? 1 : 0;
+      this.offsets[name] += 2 * rate * (LEVELS[name] - below);
     }
   }
 }
--- a/packages/decisions/src/routing/run_time_estimator.ts
+++ b/packages/decisions/src/routing/run_time_estimator.ts
@@ -74,8 +74,8 @@
 const CLIP_SCALES = 2.5;
 /** Smallest learning rates: a speed change shows after about 1 / rate runs. */
 const KIND_RATE = 0.02;
-const UPSTREAM_RATE = 0.05;
-const PAIR_RATE = 0.1;
+const UPSTREAM_RATE = 0.03;
+const PAIR_RATE = 0.04;
 /** Runs of a pair at which its own offset counts half. */
 const PAIR_TRUST = 8;
 /** Runs that a new upstream is assumed to have at average speed. */
