--- a/packages/decisions/src/limits/adaptive_concurrency.ts
+++ b/packages/decisions/src/limits/adaptive_concurrency.ts
@@ -1,7 +1,8 @@
 /**
  * Concurrency limit of one upstream from the gradient of its latency, after
- * the gradient of TCP Vegas (Brakmo and Peterson, 1995): the limit shrinks
- * when runs take longer than usual, and grows by a square root otherwise.
+ * TCP Vegas (Brakmo and Peterson, 1995): the limit shrinks in proportion when
+ * runs take longer than usual, and otherwise grows by a constant step. A step
+ * that grows with the limit would hold a limit of 8 above 4 at any latency.
  */
 
 /** A finished or refused task. */
@@ -16,6 +17,7 @@
 const SHORT_RATE = 0.2;
 const LONG_RATE = 0.01;
 const SMOOTHING = 0.2;
+const GROWTH = 1;
 const MIN_GRADIENT = 0.5;
 /** Slowdown that is tolerated: estimates are off by about this factor. */
 const TOLERANCE = 1.5;
@@ -59,7 +61,8 @@
       MIN_GRADIENT,
       Math.min(1, (TOLERANCE * this.long) / Math.max(this.short, 1e-6)),
     );
-    const target = this.estimate * gradient + Math.sqrt(this.estimate);
+    const target =
+      gradient < 1 ? this.estimate * gradient : this.estimate + GROWTH;
     const grown = this.estimate + SMOOTHING * (target - this.estimate);
     // An upstream that is not filled says nothing about a higher limit.
     const filled = sample.running >= this.estimate / 2;
