--- /dev/null
+++ b/packages/decisions/tests/health/outlier_ejection.test.ts
@@ -0,0 +1,132 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+
+import {OutlierEjection} from '../../src/health/outlier_ejection.js';
+
+function health(count: number): OutlierEjection {
+  const result = new OutlierEjection();
+  for (let n = 0; n < count; n++) result.add(`u${n}`);
+  return result;
+}
+
+let task = 0;
+
+function record(
+  source: OutlierEjection,
+  upstream: string,
+  ok: boolean,
+  now: number,
+  taskId = `t${task++}`,
+) {
+  return source.record(
+    {upstream, taskId, ok, runMs: 100, expectedMs: 100},
+    now,
+  );
+}
+
+function eject(source: OutlierEjection, upstream: string, now = 0): void {
+  for (let n = 0; n < 5; n++) record(source, upstream, false, now);
+}
+
+describe('OutlierEjection', () => {
+  it('ejects an upstream that fails everything, among healthy peers', () => {
+    const source = health(10);
+    for (let n = 1; n < 10; n++) record(source, `u${n}`, true, 0);
+    eject(source, 'u0');
+    expect(source.verdict('u0', 0)).to.include({
+      state: 'ejected',
+      allowance: 0,
+    });
+  });
+
+  it('ejects for a high ratio although some results are good', () => {
+    const source = health(10);
+    for (let n = 0; n < 90; n++) record(source, `u${1 + (n % 9)}`, true, 0);
+    for (let n = 0; n < 20; n++) record(source, 'u0', n % 2 === 0, 0);
+    expect(source.verdict('u0', 0).state).to.equal('ejected');
+  });
+
+  it('ejects no one when all fail alike, because the cause is elsewhere', () => {
+    const source = health(10);
+    for (let n = 0; n < 500; n++) record(source, `u${n % 10}`, n % 20 >= 10, n);
+    expect(source.ejectedCount).to.equal(0);
+  });
+
+  it('never ejects more than its cap, in any order of results', () => {
+    const result = fc.record({
+      upstream: fc.nat(9),
+      ok: fc.boolean(),
+      task: fc.nat(40),
+      probe: fc.boolean(),
+    });
+    fc.assert(
+      fc.property(fc.array(result, {maxLength: 400}), results => {
+        const source = health(10);
+        for (const [now, each] of results.entries()) {
+          if (each.probe) source.probeStarted(`u${each.upstream}`);
+          record(
+            source,
+            `u${each.upstream}`,
+            each.ok && each.upstream > 5,
+            now * 100,
+            `p${each.task}`,
+          );
+          expect(source.ejectedCount).to.be.within(0, 3);
+          const states = Array.from(
+            {length: 10},
+            (_, n) => source.verdict(`u${n}`, now * 100).state,
+          );
+          expect(states.filter(state => state === 'ejected').length).to.equal(
+            source.ejectedCount,
+          );
+        }
+      }),
+      {seed: 10},
+    );
+  });
+
+  it('probes one task at a time, at growing intervals', () => {
+    const source = health(10);
+    eject(source, 'u0');
+    let now = source.verdict('u0', 0).probeAtMs;
+    const intervals = [now];
+    for (let n = 0; n < 3; n++) {
+      expect(source.verdict('u0', now)).to.include({
+        allowance: 1,
+        reason: 'probe-due',
+      });
+      source.probeStarted('u0');
+      expect(source.verdict('u0', now).allowance).to.equal(0);
+      record(source, 'u0', false, now);
+      const next = source.verdict('u0', now).probeAtMs;
+      intervals.push(next - now);
+      now = next;
+    }
+    expect(intervals).to.deep.equal([500, 1_000, 2_000, 4_000]);
+  });
+
+  it('returns an upstream step by step, and ejects it again at once', () => {
+    const source = health(10);
+    eject(source, 'u0');
+    source.probeStarted('u0');
+    record(source, 'u0', true, 600);
+    expect(source.verdict('u0', 600)).to.include({
+      state: 'returning',
+      allowance: 1,
+    });
+    record(source, 'u0', true, 700);
+    expect(source.verdict('u0', 700).allowance).to.equal(2);
+    record(source, 'u0', false, 800);
+    expect(source.verdict('u0', 800).state).to.equal('ejected');
+  });
+
+  it('blames a task that fails everywhere, not the upstreams', () => {
+    const source = health(10);
+    for (let round = 0; round < 40; round++) {
+      for (let n = 0; n < 4; n++)
+        record(source, `u${n}`, false, round, `poison${round}`);
+    }
+    expect(source.ejectedCount).to.equal(0);
+    expect(source.isFaultyTask('poison0')).to.be.true;
+  });
+});
--- /dev/null
+++ b/packages/decisions/tests/retries/decide_retry.test.ts
@@ -0,0 +1,137 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {xoroshiro128plus} from 'pure-rand';
+
+import {backOffMs} from '../../src/retries/back_off.js';
+import {
+  decideRetry,
+  type FailedAttempt,
+} from '../../src/retries/decide_retry.js';
+import {RetryBudget} from '../../src/retries/retry_budget.js';
+import {policy} from '../fixtures.js';
+
+const ATTEMPT: FailedAttempt = {
+  team: 'a',
+  kind: 'k',
+  repeatable: true,
+  failure: 'error',
+  attempts: 1,
+  maxAttempts: 3,
+  failedUpstreams: 1,
+  deadlineAtMs: Infinity,
+  expectedRunMs: 100,
+};
+
+function budget(retries = 10): RetryBudget {
+  const result = new RetryBudget();
+  result.setPolicy(policy({a: {share: 50, retries}}));
+  return result;
+}
+
+function decide(part: Partial<FailedAttempt>, tokens = budget()) {
+  return decideRetry({...ATTEMPT, ...part}, tokens, xoroshiro128plus(1), 0);
+}
+
+describe('decideRetry', () => {
+  for (const [title, part, expected] of [
+    [
+      'repeats a failed run',
+      {},
+      {retry: true, answer: 'a.team.retry_budget_percent'},
+    ],
+    [
+      'never repeats after a possible start',
+      {repeatable: false, failure: 'lost'},
+      {retry: false, outcome: 'unknown', answer: 'a.kind:k.repeatable'},
+    ],
+    [
+      'never repeats after a known failure',
+      {repeatable: false},
+      {retry: false, outcome: 'failed', reason: 'never-repeated'},
+    ],
+    [
+      'repeats a refused start of any kind',
+      {repeatable: false, failure: 'refused'},
+      {retry: true},
+    ],
+    [
+      'ends with the attempts',
+      {attempts: 3},
+      {retry: false, reason: 'attempts-exhausted'},
+    ],
+    [
+      'ends with the deadline',
+      {deadlineAtMs: 50},
+      {retry: false, reason: 'deadline-passed'},
+    ],
+    [
+      'ends for a faulty task',
+      {failedUpstreams: 3},
+      {retry: false, reason: 'faulty-task'},
+    ],
+  ] as const) {
+    it(title, () => {
+      expect(decide(part)).to.include(expected);
+    });
+  }
+
+  it('never repeats a kind that never repeats, whatever else holds', () => {
+    const failure = fc.constantFrom(
+      'error' as const,
+      'stopped' as const,
+      'lost' as const,
+    );
+    fc.assert(
+      fc.property(
+        failure,
+        fc.nat(5),
+        fc.nat(5),
+        (how, attempts, failedUpstreams) => {
+          const part = {
+            failure: how,
+            attempts,
+            failedUpstreams,
+            repeatable: false,
+          };
+          expect(decide(part).retry).to.be.false;
+        },
+      ),
+      {seed: 8},
+    );
+  });
+});
+
+describe('RetryBudget', () => {
+  it('allows no more than its tokens plus the percentage of starts', () => {
+    const tokens = budget(10);
+    for (let n = 0; n < 200; n++) tokens.started('a');
+    let taken = 0;
+    while (tokens.take('a') === 'allowed') taken++;
+    expect(taken).to.be.within(24, 25);
+    expect(tokens.take('a')).to.equal('team-budget-empty');
+  });
+
+  it('gives nothing to a team that answered 0 or is unknown', () => {
+    expect(budget(0).take('a')).to.equal('team-budget-empty');
+    expect(budget().take('b')).to.equal('team-budget-empty');
+  });
+});
+
+describe('backOffMs', () => {
+  it('stays within its growing bound, so retries neither rush nor stall', () => {
+    fc.assert(
+      fc.property(
+        fc.integer(),
+        fc.integer({min: 1, max: 100}),
+        (seed, attempt) => {
+          const delayMs = backOffMs(attempt, xoroshiro128plus(seed));
+          expect(delayMs).to.be.within(
+            0,
+            Math.min(1_000, 5 * 2 ** (attempt - 1)),
+          );
+        },
+      ),
+      {seed: 9},
+    );
+  });
+});
--- /dev/null
+++ b/packages/decisions/tests/routing/expected_end_routing.test.ts
@@ -0,0 +1,171 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {xoroshiro128plus} from 'pure-rand';
+
+import {
+  LeastOutstandingRouting,
+  RandomRouting,
+  TwoChoicesRouting,
+} from '../../src/routing/baseline_routing.js';
+import {
+  CandidateIndex,
+  type CandidateUpstream,
+} from '../../src/routing/candidate_index.js';
+import {ExpectedEndRouting} from '../../src/routing/expected_end_routing.js';
+import {RunTimeEstimator} from '../../src/routing/run_time_estimator.js';
+import {resources, routable, upstream} from '../fixtures.js';
+
+/** Upstreams with one credit each, and the run time measured on each. */
+function setUp(
+  runMs: Readonly<Record<string, number>>,
+  part: Partial<CandidateUpstream> = {},
+) {
+  const estimator = new RunTimeEstimator();
+  const candidates = new CandidateIndex();
+  for (const key of Object.keys(runMs)) {
+    candidates.add(upstream(key, part));
+    candidates.setCredits(key, 1);
+  }
+  for (let now = 0; now < 300; now++) {
+    for (const [key, ms] of Object.entries(runMs)) {
+      estimator.observe(
+        {team: 'a', kind: 'k', upstream: key, runMs: ms, endedAtMs: now},
+        now,
+      );
+    }
+  }
+  for (const key of Object.keys(runMs))
+    candidates.setSpeed(key, estimator.speedFactor(key), 300);
+  return {candidates, routing: new ExpectedEndRouting(estimator)};
+}
+
+describe('ExpectedEndRouting', () => {
+  it('picks the fastest free upstream, not the first one', () => {
+    const {candidates, routing} = setUp({slow: 400, fast: 50, middle: 100});
+    const decision = routing.choose(routable(), candidates, 0);
+    expect(decision).to.include({
+      type: 'start',
+      upstream: 'fast',
+      reason: 'fastest-end',
+    });
+  });
+
+  for (const [endsAtMs, type] of [
+    [30, 'wait'],
+    [390, 'start'],
+  ] as const) {
+    it(`${type}s when the fast upstream frees after ${endsAtMs} ms`, () => {
+      const {candidates, routing} = setUp({slow: 400, fast: 50});
+      candidates.started('fast', 'other', resources(1), endsAtMs);
+      expect(routing.choose(routable(), candidates, 0).type).to.equal(type);
+    });
+  }
+
+  it('lets one task count on a slot, and does not wait twice', () => {
+    const {candidates, routing} = setUp({slow: 400, fast: 50});
+    candidates.started('fast', 'other', resources(1), 30);
+    expect(routing.choose(routable(), candidates, 0).type).to.equal('wait');
+    expect(routing.choose(routable({taskId: 't2'}), candidates, 0)).to.include({
+      upstream: 'slow',
+    });
+    expect(routing.choose(routable({waited: true}), candidates, 0)).to.include({
+      upstream: 'slow',
+    });
+  });
+
+  it('does not wait for an upstream whose task is past its expected end', () => {
+    const {candidates, routing} = setUp({slow: 400, fast: 50});
+    candidates.started('fast', 'other', resources(1), 30);
+    expect(routing.choose(routable(), candidates, 31)).to.include({
+      upstream: 'slow',
+    });
+  });
+
+  it('explores a new upstream with normal tasks only', () => {
+    const {candidates, routing} = setUp({known: 100});
+    candidates.add(upstream('new'));
+    candidates.setCredits('new', 1);
+    candidates.setSpeed('new', 8, 0);
+    expect(routing.choose(routable(), candidates, 0)).to.include({
+      upstream: 'known',
+    });
+    const normal = routing.choose(routable({urgency: 'normal'}), candidates, 0);
+    expect(normal).to.include({upstream: 'new', reason: 'exploration'});
+  });
+
+  it('leaves the fast upstream to others when the job ends later anyway', () => {
+    const {candidates, routing} = setUp({slow: 400, fast: 50});
+    const task = routable({jobEndsAtMs: 5_000, waitingTasks: 10});
+    expect(routing.choose(task, candidates, 0)).to.include({
+      upstream: 'slow',
+      reason: 'within-job-end',
+    });
+  });
+
+  it('spreads a job over racks when the ends are equal', () => {
+    const {candidates, routing} = setUp({u1: 100});
+    candidates.add(upstream('u2', {rack: 'other'}));
+    candidates.setCredits('u2', 1);
+    candidates.setSpeed('u2', 1, 300);
+    const task = routable({jobRacks: new Map([['r', 3]])});
+    expect(routing.choose(task, candidates, 0)).to.include({upstream: 'u2'});
+  });
+});
+
+describe('all routing policies', () => {
+  const rng = xoroshiro128plus(9);
+  const policies = [
+    new ExpectedEndRouting(new RunTimeEstimator()),
+    new TwoChoicesRouting(rng),
+    new LeastOutstandingRouting(),
+    new RandomRouting(rng),
+  ];
+  const state = fc.record({
+    held: fc.nat(2),
+    limit: fc.integer({min: 1, max: 2}),
+    available: fc.boolean(),
+    size: fc.integer({min: 1, max: 4}),
+    offers: fc.boolean(),
+    busy: fc.boolean(),
+  });
+  for (const routing of policies) {
+    it(`${routing.constructor.name} starts only where a credit and room are free, if anywhere`, () => {
+      fc.assert(
+        fc.property(fc.array(state, {maxLength: 12}), states => {
+          const candidates = new CandidateIndex();
+          const open: string[] = [];
+          states.forEach((each, n) => {
+            const key = `u${n}`;
+            candidates.add(
+              upstream(key, {
+                capacity: resources(each.size),
+                kinds: [each.offers ? 'k' : 'x'],
+              }),
+            );
+            candidates.setCredits(key, each.held);
+            candidates.setLimit(key, each.limit);
+            if (each.busy && each.held > 0)
+              candidates.started(key, 'other', resources(1), 0);
+            candidates.setAvailable(key, each.available);
+            const running = each.busy && each.held > 0 ? 1 : 0;
+            const isOpen =
+              each.available &&
+              each.offers &&
+              Math.min(each.held, each.limit) > running;
+            if (isOpen && each.size - running >= 2) open.push(key);
+          });
+          const task = routable({
+            resources: resources(2),
+            excluded: new Set(['u0']),
+          });
+          const decision = routing.choose(task, candidates, 10);
+          const allowed = open.filter(key => key !== 'u0');
+          if (decision.type === 'start')
+            expect(allowed).to.include(decision.upstream);
+          else expect([decision.type, allowed]).to.deep.equal(['none', []]);
+        }),
+        {seed: 6},
+      );
+    });
+  }
+});
--- /dev/null
+++ b/packages/decisions/tests/slots/allocate_slots.test.ts
@@ -0,0 +1,169 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+
+import {SlotAllocator} from '../../src/slots/allocate_slots.js';
+import {CreditLedger} from '../../src/slots/credit_ledger.js';
+import {PLENTY, resources} from '../fixtures.js';
+
+const INSTANCES = ['i0', 'i1', 'i2'];
+
+function allocator(workers: number, slots = 8): SlotAllocator {
+  const result = new SlotAllocator();
+  result.setTeams([
+    {team: 'a', weight: 0.75, quota: PLENTY},
+    {team: 'b', weight: 0.25, quota: PLENTY},
+  ]);
+  for (let index = 0; index < workers; index++) {
+    result.setWorker({
+      worker: `w${index}`,
+      rack: `r${index % 4}`,
+      speedFactor: 1 + (index % 3),
+      capacity: resources(slots),
+    });
+  }
+  return result;
+}
+
+function demand(instance: string, teams: Readonly<Record<string, number>>) {
+  return {
+    instance,
+    weight: 1,
+    teams: Object.entries(teams).map(([team, slots]) => ({
+      team,
+      demand: resources(slots),
+    })),
+  };
+}
+
+/** Applies allocations to ledgers until nothing changes. */
+function settle(
+  source: SlotAllocator,
+  ledgers: ReadonlyMap<string, CreditLedger>,
+): void {
+  for (let round = 0; round < 5; round++) {
+    const {grants, instances} = source.allocate();
+    for (const {worker, instance, credits} of grants)
+      ledgers.get(instance)?.granted(worker, credits);
+    for (const {instance, keep} of instances) {
+      const ledger = ledgers.get(instance);
+      const order = [...(ledger?.all() ?? [])].map(([worker]) => worker);
+      for (const {worker, credits} of ledger?.keepAtMost(
+        keep ?? Infinity,
+        order,
+      ) ?? []) {
+        source.release(instance, worker, credits);
+      }
+    }
+  }
+}
+
+function ledgersOf(): ReadonlyMap<string, CreditLedger> {
+  return new Map(INSTANCES.map(name => [name, new CreditLedger()]));
+}
+
+describe('SlotAllocator', () => {
+  it('spreads idle slots in advance, so a first task needs no round trip', () => {
+    const source = allocator(30);
+    const ledgers = ledgersOf();
+    for (const name of INSTANCES) source.setDemand(demand(name, {}));
+    settle(source, ledgers);
+    for (const ledger of ledgers.values())
+      expect(ledger.totals.held).to.equal(80);
+  });
+
+  it('divides by the weights of the teams, not by the demand alone', () => {
+    const source = allocator(10, 8);
+    const ledgers = ledgersOf();
+    source.setDemand(demand('i0', {a: 500}));
+    source.setDemand(demand('i1', {b: 5_000}));
+    settle(source, ledgers);
+    expect(ledgers.get('i0')?.totals.held).to.equal(60);
+    expect(ledgers.get('i1')?.totals.held).to.equal(20);
+  });
+
+  it('gives every instance a part of each speed and rack', () => {
+    const source = allocator(24);
+    const ledgers = ledgersOf();
+    for (const name of INSTANCES) source.setDemand(demand(name, {a: 100}));
+    settle(source, ledgers);
+    for (const ledger of ledgers.values()) {
+      const bySpeed = [0, 0, 0];
+      for (const [worker, {held}] of ledger.all()) {
+        const speed = Number(worker.slice(1)) % 3;
+        bySpeed[speed] = (bySpeed[speed] ?? 0) + held;
+      }
+      for (const held of bySpeed) expect(held).to.be.within(20, 23);
+    }
+  });
+
+  it('asks idle credits back for demand elsewhere', () => {
+    const source = allocator(10);
+    const ledgers = ledgersOf();
+    source.setDemand(demand('i0', {a: 500}));
+    settle(source, ledgers);
+    expect(ledgers.get('i0')?.totals.held).to.equal(80);
+    source.setDemand(demand('i0', {}));
+    source.setDemand(demand('i1', {a: 500}));
+    settle(source, ledgers);
+    expect(ledgers.get('i1')?.totals.held).to.equal(80);
+  });
+
+  it('gives the credits of a lost instance to the others', () => {
+    const source = allocator(10);
+    const ledgers = ledgersOf();
+    source.setDemand(demand('i0', {a: 500}));
+    settle(source, ledgers);
+    source.removeInstance('i0');
+    source.setDemand(demand('i1', {a: 500}));
+    settle(source, ledgers);
+    expect(ledgers.get('i1')?.totals.held).to.equal(80);
+  });
+
+  it('never has more credits out than slots, in any order of events', () => {
+    const event = fc.record({
+      type: fc.constantFrom('demand', 'use', 'free', 'worker', 'allocate'),
+      instance: fc.constantFrom(...INSTANCES),
+      worker: fc.nat(5),
+      amount: fc.nat(40),
+    });
+    fc.assert(
+      fc.property(fc.array(event, {maxLength: 100}), events => {
+        const source = allocator(5, 4);
+        const ledgers = ledgersOf();
+        for (const {type, instance, worker, amount} of events) {
+          const ledger = ledgers.get(instance);
+          const name = `w${worker}`;
+          if (type === 'demand')
+            source.setDemand(demand(instance, {a: amount, b: 40 - amount}));
+          if (type === 'use') ledger?.use(name);
+          if (type === 'free') {
+            const back = ledger?.free(name);
+            if (back) source.release(instance, back.worker, back.credits);
+          }
+          if (type === 'worker') {
+            source.removeWorker(name);
+            for (const each of ledgers.values()) each.drop(name);
+            source.setWorker({
+              worker: name,
+              rack: 'r',
+              speedFactor: 1,
+              capacity: resources(4),
+            });
+          }
+          if (type === 'allocate') settle(source, ledgers);
+          source.checkInvariants();
+          for (const each of ledgers.values()) each.checkInvariants();
+          for (let index = 0; index < 6; index++) {
+            const held = [...ledgers.values()].map(
+              each => each.of(`w${index}`).held,
+            );
+            expect(
+              held.reduce((sum, credits) => sum + credits, 0),
+            ).to.be.at.most(4);
+          }
+        }
+      }),
+      {seed: 4, numRuns: 200},
+    );
+  });
+});
