--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -1,3 +1,4 @@
+export {NAME_PATTERN} from './fields.js';
 export {
   AnswersError,
   ConfigError,
--- a/packages/config/src/problems.ts
+++ b/packages/config/src/problems.ts
@@ -49,8 +49,8 @@
 ): string | undefined {
   if (valid.length === 0) return undefined;
   const best = closest(name, valid);
-  // A suggestion that shares hardly any character with the name misleads.
-  const limit = Math.max(name.length, best.length) * 0.8;
+  // A suggestion that shares less than half of the characters of the name misleads.
+  const limit = Math.max(name.length, best.length) / 2;
   return distance(name, best) <= limit ? best : undefined;
 }
 
