--- a/packages/bench/src/cluster/answers_files.ts
+++ b/packages/bench/src/cluster/answers_files.ts
@@ -18,16 +18,17 @@
 
 /**
  * Reads the answers of some users. The files of each user share out 100
- * percent, so several users in one deployment get equal parts of it.
+ * percent, so several users in one deployment get equal parts of it. `part`
+ * leaves the rest of the capacity to other teams.
  */
-export function loadAnswers(users: readonly User[]): AnswersFile[] {
+export function loadAnswers(users: readonly User[], part = 1): AnswersFile[] {
   return users.flatMap(user =>
     readdirSync(`${EXAMPLES}${user}`)
       .filter(file => file.endsWith('.ini'))
       .sort()
       .map(file => {
         const text = readFileSync(`${EXAMPLES}${user}/${file}`, 'utf8');
-        return scaleShare(text, 1 / users.length);
+        return scaleShare(text, part / users.length);
       }),
   );
 }
--- a/packages/bench/src/cluster/cluster.ts
+++ b/packages/bench/src/cluster/cluster.ts
@@ -41,6 +41,8 @@
   readonly workers: readonly TraceWorker[];
   /** Whose answers are applied. */
   readonly users: readonly User[];
+  /** Part of the capacity that they share out; all of it by default. */
+  readonly sharedPart?: number;
   readonly policies: PolicyNames;
   readonly logLevel?: string;
 }
@@ -59,6 +61,9 @@
   private readonly relay: RoleProcess;
   private readonly fleet: RoleProcess;
   private plans: readonly InstancePlan[] = [];
+  /** Addresses of the instances as a place reaches them. */
+  private addressesIn: (place: string) => readonly string[] = () => [];
+  private workerCount = 0;
   /** Addresses of the instances as the clients reach them. */
   clientAddresses: readonly string[] = [];
 
@@ -77,11 +82,26 @@
   /** Starts everything, applies both users' answers, waits for the workers. */
   async start(): Promise<void> {
     await this.startEntries();
-    await this.startWorkers();
+    await this.populate();
+  }
+
+  /** Starts the workers and applies the answers. */
+  async populate(): Promise<void> {
+    await this.addWorkers(this.options.workers);
+    const {users, sharedPart} = this.options;
     const addresses = this.plans.map(plan => plan.listen);
-    for (const {team, text} of loadAnswers(this.options.users)) {
+    for (const {team, text} of loadAnswers(users, sharedPart)) {
       await applyAnswers(addresses, team, text, READY_TIMEOUT_MS);
     }
+  }
+
+  /** Starts more workers and waits until all are announced. */
+  async addWorkers(workers: readonly TraceWorker[]): Promise<void> {
+    const options = workers.map((worker, index) =>
+      this.workerOptions(worker, index),
+    );
+    await this.fleet.call('start', options);
+    this.workerCount += workers.length;
     await this.waitForWorkers();
   }
 
@@ -94,11 +114,10 @@
     const links = planLinks(options, plans);
     const relayPorts = await this.relay.call<number[]>('open', links);
     this.plans = plans;
-    this.clientAddresses = addressesFrom(CLIENTS, plans, links, relayPorts);
+    this.addressesIn = place => addressesFrom(place, plans, links, relayPorts);
+    this.clientAddresses = this.addressesIn(CLIENTS);
     for (const self of plans) {
-      const place = self.dataCentre;
-      const addresses = addressesFrom(place, plans, links, relayPorts);
-      await this.startEntry(self, addresses);
+      await this.startEntry(self, this.addressesIn(self.dataCentre));
     }
     await Promise.all(this.entries.map(e => e.ready(READY_TIMEOUT_MS)));
   }
@@ -163,39 +182,39 @@
     entry.start();
   }
 
-  private async startWorkers(): Promise<void> {
-    const kinds = [...new Set(MIX_KINDS.map(kind => kind.kind))];
-    const options = this.options.workers.map(
-      (worker, index): StandInWorkerOptions => ({
-        worker: worker.worker,
-        dataCentre: worker.dataCentre,
-        rack: worker.rack,
-        speed: worker.speed,
-        capacity: {
-          slots: worker.slots,
-          processors: PROCESSORS,
-          memoryMb: MEMORY_MB,
-          accelerators: 0,
-        },
-        maxConnections: MAX_CONNECTIONS,
-        kinds,
-        renewals: {
-          homes: this.plans
-            .filter(plan => plan.dataCentre === worker.dataCentre)
-            .map(plan => plan.listen),
-          first: Math.floor(index / this.options.dataCentres.length),
-          token: '',
-          periodMs: 1_000,
-          usageLagMs: 500,
-        },
-      }),
-    );
-    await this.fleet.call('start', options);
+  private workerOptions(
+    worker: TraceWorker,
+    index: number,
+  ): StandInWorkerOptions {
+    const {dataCentre} = worker;
+    return {
+      worker: worker.worker,
+      dataCentre,
+      rack: worker.rack,
+      speed: worker.speed,
+      capacity: {
+        slots: worker.slots,
+        processors: PROCESSORS,
+        memoryMb: MEMORY_MB,
+        accelerators: 0,
+      },
+      maxConnections: MAX_CONNECTIONS,
+      kinds: MIX_KINDS.map(kind => kind.kind),
+      renewals: {
+        homes: this.addressesIn(dataCentre).filter(
+          (_, i) => this.plans[i]?.dataCentre === dataCentre,
+        ),
+        first: Math.floor(index / this.options.dataCentres.length),
+        token: '',
+        periodMs: 1_000,
+        usageLagMs: 500,
+      },
+    };
   }
 
   private async waitForWorkers(): Promise<void> {
     const deadline = performance.now() + ANNOUNCE_TIMEOUT_MS;
-    const wanted = this.options.workers.length;
+    const wanted = this.workerCount;
     for (;;) {
       const announced = await this.fleet.call<number>('announced');
       if (announced === wanted) return;
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export {judge, type Violation} from './measures/invariants.js';
+export {type RunSummary, summarizeRun} from './measures/summary.js';
