--- a/packages/bench/src/cluster/cluster.ts
+++ b/packages/bench/src/cluster/cluster.ts
@@ -64,6 +64,7 @@
   /** Addresses of the instances as a place reaches them. */
   private addressesIn: (place: string) => readonly string[] = () => [];
   private workerCount = 0;
+  private closing = false;
   /** Addresses of the instances as the clients reach them. */
   clientAddresses: readonly string[] = [];
 
@@ -151,6 +152,7 @@
   }
 
   close(): Promise<void> {
+    this.closing = true;
     return this.life.close();
   }
 
@@ -178,7 +180,9 @@
       logFile: join(folder, `${self.name}.log`),
     });
     this.entries.push(entry);
-    this.life.defer(self.name, () => entry.kill());
+    this.life.defer(self.name, () => entry.retire());
+    // Nothing owned after the clean-up began would ever be ended.
+    if (this.closing) throw new ClusterError('closed while it started');
     entry.start();
   }
 
--- a/packages/bench/src/cluster/entry_process.ts
+++ b/packages/bench/src/cluster/entry_process.ts
@@ -32,6 +32,7 @@
 export class EntryProcess {
   private child: ChildProcess | undefined;
   private expectedEnd = true;
+  private retired = false;
   /** Ends that nobody asked for. */
   unexpectedEnds = 0;
   /** Planned stops that did not end in time or not with code 0. */
@@ -54,6 +55,8 @@
 
   /** Starts the process without waiting for it to become ready. */
   start(): void {
+    // A fault step that outlasts the run must not leave a process behind.
+    if (this.retired) return;
     const log = openSync(this.options.logFile, 'a');
     const settings = resolve(this.options.settingsFile);
     const child = spawn(
@@ -76,6 +79,12 @@
     await this.end('SIGKILL');
   }
 
+  /** Kills the process for good; later starts have no effect. */
+  async retire(): Promise<void> {
+    this.retired = true;
+    await this.kill();
+  }
+
   /** Asks for a planned stop and waits for it. */
   async stop(): Promise<void> {
     const child = this.child;
--- a/packages/bench/src/load/generator.ts
+++ b/packages/bench/src/load/generator.ts
@@ -1,4 +1,5 @@
 /** Open-loop load: every job is sent when it is due, whatever is pending. */
+import {setMaxListeners} from 'node:events';
 import {setTimeout as sleep} from 'node:timers/promises';
 
 import type {LoadClient, SubmitOptions} from './client.js';
@@ -36,6 +37,8 @@
 
   /** Runs a trace; resolves when every job is answered or given up. */
   async run(jobs: readonly TraceJob[]): Promise<JobOutcome[]> {
+    // Every job listens for the end of the run.
+    setMaxListeners(0, this.stop.signal);
     const startMs = Date.now();
     const pending: Promise<JobOutcome>[] = [];
     for (const job of jobs) {
