Keep control log, records and audit trail in the data folder

Cause: restarts lost the control log and synced records. Change: instances with a disk open the data folder, store the control log, each life of a record group and the audit archive there, import synced records into a new generation, and repeat a lost abandonment.

--- a/packages/coordination/src/records/records_state.ts
+++ b/packages/coordination/src/records/records_state.ts
@@ -126,6 +126,11 @@
     return this.store.unfinished();
   }
 
+  /** All records, in order of admission. */
+  all(): readonly SubmissionRecord[] {
+    return this.store.values();
+  }
+
   counts(): RecordCounts {
     const total = this.store.size;
     const unfinished = this.store.unfinishedCount;
--- a/packages/entry/src/control/control_service.ts
+++ b/packages/entry/src/control/control_service.ts
@@ -1,5 +1,7 @@
 /** The control log as this instance takes part in it. */
 import {
+  archiveAudit,
+  type AuditArchive,
   type ControlCommand,
   type ControlResult,
   ControlState,
@@ -15,6 +17,7 @@
 } from '@mustardferry/coordination';
 import type {ControlFetch, ControlReply} from '@mustardferry/links';
 import {
+  type AuditPage,
   type InstanceSettings,
   MustardferryError,
   type Policy,
@@ -45,6 +48,8 @@
   readonly logger: Logger;
   /** Storage of a voter; null for an instance that is none. */
   readonly storage: LogStorage<ControlCommand> | null;
+  /** Where a voter keeps audit entries that leave memory. */
+  readonly audit: AuditArchive | undefined;
   readonly onChange: () => void;
 }
 
@@ -213,7 +218,25 @@
     await this.log?.close();
   }
 
+  /** Audit entries after an index, from memory or from the archive. */
+  async auditPage(
+    after: number,
+    limit: number,
+  ): Promise<AuditPage | undefined> {
+    const page = this.state.auditPage(after, limit);
+    return page ?? (await this.options.audit?.page(after, limit));
+  }
+
+  private archive(): void {
+    const {audit, logger} = this.options;
+    if (audit === undefined) return;
+    archiveAudit(this.state, audit).catch((err: unknown) =>
+      logger.error('audit-archive-failed', {err}),
+    );
+  }
+
   private changed(): void {
+    this.archive();
     for (const wake of [...this.waiting]) wake();
     if (!this.closed) this.options.onChange();
   }
--- a/packages/entry/src/groups/group_service.ts
+++ b/packages/entry/src/groups/group_service.ts
@@ -1,17 +1,14 @@
 /** All record groups that this instance is a voter of. */
 import {randomUUID} from 'node:crypto';
 
-import type {
-  LogStorage,
-  MemberId,
-  RecordsCommand,
-} from '@mustardferry/coordination';
+import type {MemberId} from '@mustardferry/coordination';
 import type {InstanceSettings} from '@mustardferry/model';
 import type {Logger} from '@mustardferry/runtime';
 
 import type {ControlService} from '../control/control_service.js';
 import type {JobOwner} from '../jobs/job_owner.js';
 import type {PeerNetwork} from '../peers/peer_network.js';
+import type {GroupStorage} from '../storage/instance_storage.js';
 import {type GroupDefinition, groupDefinitions} from './group_members.js';
 import {type OwnerContext, RecordGroup} from './record_group.js';
 
@@ -24,11 +21,7 @@
   readonly owner: OwnerContext;
   readonly logger: Logger;
   readonly onOwnership: () => void;
-  /** Storage of one generation of a group; null without a disk. */
-  readonly openStorage: (
-    group: string,
-    generation: number,
-  ) => Promise<LogStorage<RecordsCommand> | null>;
+  readonly openStorage: (group: string) => Promise<GroupStorage>;
 }
 
 const RECONCILE_PERIOD_MS = 500;
@@ -200,7 +193,10 @@
       await this.abandonIfStuck(running);
       return;
     }
-    if (this.abandoned.get(definition.name) === current.generation) return;
+    if (this.abandoned.get(definition.name) === current.generation) {
+      await this.proposeAbandonment(definition.name, current.generation);
+      return;
+    }
     await running?.close();
     await this.join(definition, current);
   }
@@ -210,10 +206,7 @@
     generation: RecordGroup['generation'],
   ): Promise<void> {
     const {settings, network, owner, logger, onOwnership} = this.options;
-    const storage = await this.options.openStorage(
-      definition.name,
-      generation.generation,
-    );
+    const storage = await this.options.openStorage(definition.name);
     const group = new RecordGroup({
       definition,
       generation,
@@ -237,16 +230,28 @@
 
   /** Promises never to join a generation that seems to have no quorum left. */
   private async abandonIfStuck(group: RecordGroup): Promise<void> {
-    const {control, settings, incarnation, logger} = this.options;
+    const {logger} = this.options;
     if (group.isVoter || group.leaderlessMs < ABANDON_AFTER_MS) return;
     const {generation} = group.generation;
     logger.warn('group-abandoned', {group: group.name, generation});
     this.abandoned.set(group.name, generation);
     this.groups.delete(group.name);
     await group.close();
+    await this.proposeAbandonment(group.name, generation);
+  }
+
+  private async proposeAbandonment(
+    group: string,
+    generation: number,
+  ): Promise<void> {
+    const {control, settings, incarnation} = this.options;
+    const known = control.state
+      .group(group)
+      ?.abandonedBy.some(each => each.incarnation === incarnation);
+    if (known === true) return;
     await control.propose({
       type: 'abandon-group',
-      group: group.name,
+      group,
       generation,
       instance: settings.name,
       incarnation,
--- a/packages/entry/src/groups/record_group.ts
+++ b/packages/entry/src/groups/record_group.ts
@@ -2,7 +2,6 @@
 import {
   type GrantedVoter,
   type LogMessage,
-  type LogStorage,
   type MemberId,
   type RecordGroupGeneration,
   type RecordsCommand,
@@ -16,6 +15,7 @@
 import {JobOwner, type JobOwnerOptions} from '../jobs/job_owner.js';
 import {LogNetworkTransport} from '../peers/log_network_transport.js';
 import type {PeerNetwork} from '../peers/peer_network.js';
+import type {GroupStorage} from '../storage/instance_storage.js';
 import type {GroupDefinition} from './group_members.js';
 
 /** What an owner needs besides its group. */
@@ -32,7 +32,7 @@
   readonly dataCentre: string;
   readonly heartbeatMs: number;
   readonly electionTimeoutMs: number;
-  readonly storage: LogStorage<RecordsCommand> | null;
+  readonly storage: GroupStorage;
   readonly network: PeerNetwork;
   readonly logger: Logger;
   readonly owner: OwnerContext;
@@ -42,6 +42,7 @@
 const EXPIRY_PERIOD_MS = 10_000;
 const LEASE_CHECK_MS = 20;
 const HAND_BACK_PERIOD_MS = 500;
+const CLEAN_UP_PERIOD_MS = 10_000;
 
 /** One replicated log of submission records, and its owner while leading. */
 export class RecordGroup {
@@ -93,7 +94,7 @@
       self,
       voters: options.generation.voters.map((voter: GrantedVoter) => voter),
       mode: 'in-memory',
-      storage: options.storage,
+      storage: options.storage.storage,
       transport: new LogNetworkTransport(this.logName, self, network),
       machine: this.state,
       heartbeatMs: options.heartbeatMs,
@@ -105,6 +106,7 @@
     this.log.onLeadership(({leader, term}) => this.leadership(leader, term));
     this.every(EXPIRY_PERIOD_MS, () => this.expire());
     this.every(HAND_BACK_PERIOD_MS, () => this.handBack());
+    this.every(CLEAN_UP_PERIOD_MS, () => this.dropEarlierLives());
   }
 
   /** Name of the log in peer messages; generations never mix. */
@@ -149,12 +151,45 @@
     this.currentOwner = undefined;
     // The voter lent by a neighbour keeps records but serves no jobs.
     if (leader && options.definition.dataCentre === options.dataCentre) {
-      this.currentOwner = this.createOwner(term);
-      this.currentOwner.takeOver();
+      void this.serve(term);
     }
     options.onOwnership();
   }
 
+  /** Becomes the owner, once a new generation knows what it must not admit. */
+  private async serve(term: number): Promise<void> {
+    const {logger, onOwnership} = this.options;
+    try {
+      await this.openGeneration();
+    } catch (err) {
+      logger.warn('group-generation-not-opened', {group: this.name, err});
+      return;
+    }
+    if (!this.leads || this.log?.term !== term) return;
+    this.currentOwner = this.createOwner(term);
+    this.currentOwner.takeOver();
+    onOwnership();
+  }
+
+  /**
+   * Ids of a lost generation may have been admitted, so they are answered
+   * `unknown` until their retention ends, except those found on the disk.
+   */
+  private async openGeneration(): Promise<void> {
+    const {generation, storage, owner} = this.options;
+    if (generation.generation === 1) return;
+    const {grantedAtMs} = generation;
+    await this.log?.propose({
+      type: 'mark-generation',
+      generation: generation.generation,
+      grantedAtMs,
+      unknownUntilMs: grantedAtMs + owner.retentionMs,
+    });
+    const {recovered: records} = storage;
+    if (records.length === 0) return;
+    await this.log?.propose({type: 'import-durable', records});
+  }
+
   private createOwner(term: number): JobOwner {
     const {options} = this;
     const log = must(this.log, 'leadership without a log');
@@ -190,6 +225,14 @@
     return this.leaseHeld;
   }
 
+  private dropEarlierLives(): void {
+    if (!this.isVoter || this.leader === undefined) return;
+    const {storage, logger} = this.options;
+    storage.dropEarlier().catch((err: unknown) => {
+      logger.warn('earlier-records-not-removed', {group: this.name, err});
+    });
+  }
+
   private expire(): void {
     if (this.currentOwner === undefined) return;
     void this.log
--- a/packages/entry/src/http/operator_routes.ts
+++ b/packages/entry/src/http/operator_routes.ts
@@ -206,7 +206,7 @@
     access.require('operators', req.headers);
     const after = count(req.query.after, 0);
     const limit = count(req.query.limit, DEFAULT_AUDIT_LIMIT);
-    const page = control.state.auditPage(
+    const page = await control.auditPage(
       after,
       Math.min(limit, MAX_AUDIT_LIMIT),
     );
--- a/packages/entry/src/instance_parts.ts
+++ b/packages/entry/src/instance_parts.ts
@@ -123,6 +123,7 @@
       ...this.options,
       network: this.network,
       storage: this.options.storage.control,
+      audit: this.options.storage.audit,
       onChange: () => this.controlChanged(),
     });
   }
@@ -175,8 +176,7 @@
         explanations: new JobExplanations(),
         metrics,
       },
-      openStorage: (group, generation) =>
-        storage.openGroup(group, generation, this.incarnation),
+      openStorage: group => storage.openGroup(group),
       onOwnership: () => this.ownershipChanged(),
     });
   }
--- a/packages/storage/src/file_system.ts
+++ b/packages/storage/src/file_system.ts
@@ -23,6 +23,8 @@
   abstract open(path: string): Promise<OpenFile>;
   abstract rename(from: string, to: string): Promise<void>;
   abstract remove(path: string): Promise<void>;
+  /** Removes a folder with its content; a missing one is no error. */
+  abstract removeFolder(path: string): Promise<void>;
   /** Makes creations, renames and removals in a folder durable. */
   abstract syncFolder(path: string): Promise<void>;
   /** Text that is the same for every path to the same folder. */
@@ -84,6 +86,10 @@
     return fs.unlink(path);
   }
 
+  override removeFolder(path: string): Promise<void> {
+    return fs.rm(path, {recursive: true, force: true});
+  }
+
   override async syncFolder(path: string): Promise<void> {
     const handle = await fs.open(path, 'r');
     try {
--- a/packages/storage/src/simulated_file_system.ts
+++ b/packages/storage/src/simulated_file_system.ts
@@ -138,6 +138,13 @@
     this.names.delete(path);
   }
 
+  override async removeFolder(path: string): Promise<void> {
+    this.enter('remove', path);
+    for (const name of [...this.names.keys()]) {
+      if (name.startsWith(`${path}/`)) this.names.delete(name);
+    }
+  }
+
   override async syncFolder(path: string): Promise<void> {
     this.enter('syncFolder', path);
     const inside = (name: string) =>
