--- /dev/null
+++ b/packages/decisions/tests/slots/weighted_demand.test.ts
@@ -0,0 +1,102 @@
+import {RESOURCE_NAMES, type Resources} from '@mustardferry/model';
+import {expect} from 'chai';
+import fc from 'fast-check';
+
+import {satisfiedFractions} from '../../src/slots/weighted_demand.js';
+import {resources} from '../fixtures.js';
+
+const CAPACITY = resources(100, {
+  processors: 200,
+  memoryMb: 1_000,
+  accelerators: 10,
+});
+
+function of(slots: number, part: Partial<Resources> = {}): Resources {
+  return resources(slots, {processors: 0, memoryMb: 0, ...part});
+}
+
+describe('satisfiedFractions', () => {
+  for (const [title, demands, expected] of [
+    [
+      'meets demand below capacity in full',
+      [
+        {weight: 1, demand: of(40)},
+        {weight: 9, demand: of(60)},
+      ],
+      [1, 1],
+    ],
+    [
+      'divides by weight under overload',
+      [
+        {weight: 3, demand: of(100)},
+        {weight: 1, demand: of(100)},
+      ],
+      [0.75, 0.25],
+    ],
+    [
+      'gives on what a small demand leaves',
+      [
+        {weight: 1, demand: of(10)},
+        {weight: 1, demand: of(180)},
+      ],
+      [1, 0.5],
+    ],
+    // Both ask for twice the capacity; processors run out at a third.
+    [
+      'compares dominant shares',
+      [
+        {weight: 1, demand: of(10, {processors: 400})},
+        {weight: 1, demand: of(200, {processors: 200})},
+      ],
+      [1 / 3, 1 / 3],
+    ],
+    [
+      'lets others grow when accelerators are used up',
+      [
+        {weight: 3, demand: of(2, {accelerators: 20})},
+        {weight: 1, demand: of(200)},
+      ],
+      [0.5, 0.495],
+    ],
+  ] as const) {
+    it(title, () => {
+      const fractions = satisfiedFractions(demands, CAPACITY);
+      expected.forEach((fraction, n) =>
+        expect(fractions[n]).to.be.closeTo(fraction, 1e-6),
+      );
+    });
+  }
+
+  it('stays within the capacity and leaves no resource idle that is wanted', () => {
+    const demand = fc.record({
+      slots: fc.nat(200),
+      processors: fc.nat(200),
+      memoryMb: fc.nat(2_000),
+      accelerators: fc.nat(5),
+    });
+    const team = fc.record({
+      weight: fc.double({min: 0.001, max: 1, noNaN: true}),
+      demand,
+    });
+    fc.assert(
+      fc.property(fc.array(team, {maxLength: 12}), teams => {
+        const fractions = satisfiedFractions(teams, CAPACITY);
+        const used = (name: keyof Resources) =>
+          teams.reduce(
+            (sum, each, n) => sum + each.demand[name] * (fractions[n] ?? 0),
+            0,
+          );
+        for (const name of RESOURCE_NAMES)
+          expect(used(name)).to.be.at.most(CAPACITY[name] * (1 + 1e-6));
+        teams.forEach((each, n) => {
+          if ((fractions[n] ?? 0) > 1 - 1e-6) return;
+          const full = RESOURCE_NAMES.filter(
+            name => used(name) >= CAPACITY[name] * (1 - 1e-5),
+          );
+          expect(full.some(name => each.demand[name] > 0)).to.be.true;
+        });
+      }),
+      {seed: 11, numRuns: 500},
+    );
+  });
+});
