--- a/packages/decisions/src/health/outlier_ejection.ts
+++ b/packages/decisions/src/health/outlier_ejection.ts
@@ -1,6 +1,6 @@
 /** Takes upstreams out of use that fail far more often than their peers. */
 import type {ReasonCode} from '../explain/reasons.js';
-import {FaultyTasks} from './faulty_tasks.js';
+import {type CountedFailure, FaultyTasks} from './faulty_tasks.js';
 import {
   FadingCounts,
   type HealthState,
@@ -148,17 +148,19 @@
     health: UpstreamHealth,
     now: number,
   ): readonly HealthChange[] {
-    const blamed = this.tasks.failed(result.taskId, result.upstream);
+    const isFast = result.runMs < FAST_FAILURE_PART * result.expectedMs;
+    const weight = isFast ? FAST_FAILURE_WEIGHT : 1;
+    const blamed = this.tasks.failed(result.taskId, result.upstream, weight);
     if (blamed === 'faulty') {
       health.probing = false;
       return [];
     }
     if (blamed) {
       health.probing = false;
-      return blamed.flatMap(key => this.clear(key, now));
+      for (const failure of blamed) this.takeBack(failure, now);
+      return [];
     }
-    const isFast = result.runMs < FAST_FAILURE_PART * result.expectedMs;
-    this.count(health, 0, isFast ? FAST_FAILURE_WEIGHT : 1, now);
+    this.count(health, 0, weight, now);
     health.consecutiveFailures++;
     if (health.state === 'ejected') return this.probeFailed(health, now);
     const reason = this.ejectionReason(health, now);
@@ -241,12 +243,11 @@
     return [{upstream, state: health.state, reason}];
   }
 
-  /** Takes back the blame for one failure of a faulty task. */
-  private clear(upstream: string, now: number): readonly HealthChange[] {
+  /** Takes back the blame for the failures of a faulty task. */
+  private takeBack({upstream, weight}: CountedFailure, now: number): void {
     const health = this.upstreams.get(upstream);
-    if (!health) return [];
-    this.count(health, 0, -1, now);
+    if (!health) return;
+    this.count(health, 0, -weight, now);
     health.consecutiveFailures = Math.max(0, health.consecutiveFailures - 1);
-    return [];
   }
 }
--- a/packages/decisions/tests/health/outlier_ejection.test.ts
+++ b/packages/decisions/tests/health/outlier_ejection.test.ts
@@ -120,13 +120,21 @@
     expect(source.verdict('u0', 800).state).to.equal('ejected');
   });
 
-  it('blames a task that fails everywhere, not the upstreams', () => {
-    const source = health(10);
-    for (let round = 0; round < 40; round++) {
-      for (let n = 0; n < 4; n++)
-        record(source, `u${n}`, false, round, `poison${round}`);
-    }
-    expect(source.ejectedCount).to.equal(0);
-    expect(source.isFaultyTask('poison0')).to.be.true;
-  });
+  for (const runMs of [100, 1]) {
+    it(`blames a task that fails everywhere after ${runMs} ms, not the upstreams`, () => {
+      const source = health(10);
+      for (let round = 0; round < 40; round++) {
+        const taskId = `poison${round}`;
+        for (const upstream of ['u0', 'u1', 'u2', 'u3']) {
+          source.record(
+            {upstream, taskId, ok: false, runMs, expectedMs: 100},
+            round,
+          );
+        }
+        for (let n = 4; n < 10; n++) record(source, `u${n}`, true, round);
+      }
+      expect(source.ejectedCount).to.equal(0);
+      expect(source.isFaultyTask('poison0')).to.be.true;
+    });
+  }
 });
