Feed learned speeds of upstreams to routing

Cause: candidates kept their initial speed, so routing could not tell fast upstreams from slow ones. Change: copy the estimator's speed after each result.

--- a/packages/entry/src/dispatch/outcome_policy.ts
+++ b/packages/entry/src/dispatch/outcome_policy.ts
@@ -10,6 +10,7 @@
 import type {RandomGenerator} from 'pure-rand';
 
 import type {JobFailure} from '../jobs/running_job.js';
+import type {UpstreamPool} from '../upstreams/upstream_pool.js';
 import type {AttemptOutcome} from './attempt_outcome.js';
 import type {RunningAttempt, TaskEntry} from './task_entry.js';
 import type {UpstreamMonitor} from './upstream_monitor.js';
@@ -30,6 +31,7 @@
 /** Options of the policy. */
 export interface OutcomePolicyOptions {
   readonly estimator: RunTimeEstimator;
+  readonly pool: UpstreamPool;
   readonly budget: RetryBudget;
   readonly monitor: UpstreamMonitor;
   readonly rng: RandomGenerator;
@@ -49,7 +51,7 @@
     attempt: RunningAttempt,
     outcome: AttemptOutcome,
   ): void {
-    const {estimator, monitor, metrics} = this.options;
+    const {estimator, pool, monitor, metrics} = this.options;
     const now = Date.now();
     const {upstream} = attempt;
     const {team, kind} = entry.queued;
@@ -57,6 +59,11 @@
     if (outcome.type === 'done') {
       const {runMs} = outcome;
       estimator.observe({team, kind, upstream, runMs, endedAtMs: now}, now);
+      pool.candidates.setSpeed(
+        upstream,
+        estimator.speedFactor(upstream),
+        estimator.upstreamSamples(upstream),
+      );
       return;
     }
     metrics.increment('attempts.without_result', 1, {cause: outcome.type});
