--- a/packages/coordination/src/control/control_state.ts
+++ b/packages/coordination/src/control/control_state.ts
@@ -3,7 +3,6 @@
   assertNever,
   type AuditEntry,
   type AuditPage,
-  EMPTY_POLICY,
   type Policy,
 } from '@mustardferry/model';
 import {pack, unpack} from 'msgpackr';
@@ -11,6 +10,7 @@
 import {SnapshotFormatError} from '../errors.js';
 import {StateMachine} from '../state_machine.js';
 import {invalid, refuseAnswers} from './answers_check.js';
+import {detailOf} from './audit_detail.js';
 import {AuditTail, type AuditTailSnapshot} from './audit_tail.js';
 import type {
   AbandonGroupCommand,
@@ -45,24 +45,6 @@
   readonly audit: AuditTailSnapshot;
 }
 
-/** Detail of a refused change in the audit trail. */
-function describe(result: ControlResult): string {
-  switch (result.outcome) {
-    case 'accepted':
-      return '';
-    case 'conflict': {
-      const {operator, requestId, revision} = result.winner;
-      return `conflict: revision ${revision} by ${operator}, request ${requestId}`;
-    }
-    case 'invalid':
-      return `${result.code}: ${result.detail}`;
-    case 'repeated':
-      return 'repeated';
-    default:
-      return assertNever(result);
-  }
-}
-
 function generatePolicy(
   revision: number,
   answers: ReadonlyMap<string, TeamAnswers>,
@@ -81,7 +63,9 @@
   private recordGroups = new RecordGroups();
   private requests = new RequestMemory();
   private audit = new AuditTail();
-  private cachedPolicy: Policy = EMPTY_POLICY;
+  private revision = 0;
+  /** Built on the first read after a change, so that replay skips it. */
+  private cachedPolicy: Policy | undefined;
 
   private readonly incarnationOf = (name: string): string | undefined =>
     this.instancesByName.get(name)?.incarnation;
@@ -106,7 +90,7 @@
   override snapshot(): Uint8Array {
     const state: ControlSnapshot = {
       format: FORMAT,
-      revision: this.cachedPolicy.revision,
+      revision: this.revision,
       answers: [...this.answersByTeam.values()],
       instances: this.instancesByName.snapshot(),
       groups: this.recordGroups.list(),
@@ -127,11 +111,13 @@
     this.recordGroups = new RecordGroups(state.groups);
     this.requests = new RequestMemory(state.requests);
     this.audit = new AuditTail(state.audit);
-    this.cachedPolicy = generatePolicy(state.revision, this.answersByTeam);
+    this.revision = state.revision;
+    this.cachedPolicy = undefined;
   }
 
   /** The configuration in force; the same object until it changes. */
   get policy(): Policy {
+    this.cachedPolicy ??= generatePolicy(this.revision, this.answersByTeam);
     return this.cachedPolicy;
   }
 
@@ -195,7 +181,8 @@
     if (refusal === undefined) {
       const changed = {team, text, policy, operator, requestId};
       this.answersByTeam.set(team, {...changed, revision: index});
-      this.cachedPolicy = generatePolicy(index, this.answersByTeam);
+      this.revision = index;
+      this.cachedPolicy = undefined;
     }
     return result;
   }
@@ -219,7 +206,7 @@
   /** Adds an audit entry; called before the change takes effect. */
   private recordChange(command: OperatorCommand, result: ControlResult): void {
     const {atMs, operator, requestId} = command;
-    const who = {atMs, operator, requestId, detail: describe(result)};
+    const who = {atMs, operator, requestId, detail: detailOf(result)};
     this.audit.append({...who, ...this.changeOf(command, result)});
   }
 
--- a/packages/coordination/src/control/request_memory.ts
+++ b/packages/coordination/src/control/request_memory.ts
@@ -44,9 +44,16 @@
 /** Remembers first results in order of arrival, bounded. */
 export class RequestMemory {
   private readonly requests: Map<string, RememberedRequest>;
+  /**
+   * Request ids as a ring once full. Taking the oldest key from the map would
+   * pass over all keys deleted before it.
+   */
+  private readonly order: string[];
+  private oldest = 0;
 
   constructor(from: readonly RememberedRequest[] = []) {
     this.requests = new Map(from.map(each => [each.requestId, each]));
+    this.order = [...this.requests.keys()];
   }
 
   /** The reply to a request id seen before, or undefined. */
@@ -66,10 +73,13 @@
   remember(command: OperatorCommand, first: FirstControlResult): void {
     const {requestId} = command;
     this.requests.set(requestId, {requestId, digest: digestOf(command), first});
-    for (const oldest of this.requests.keys()) {
-      if (this.requests.size <= MAX_REMEMBERED_REQUESTS) break;
-      this.requests.delete(oldest);
+    if (this.order.length < MAX_REMEMBERED_REQUESTS) {
+      this.order.push(requestId);
+      return;
     }
+    this.requests.delete(this.order[this.oldest] ?? '');
+    this.order[this.oldest] = requestId;
+    this.oldest = (this.oldest + 1) % MAX_REMEMBERED_REQUESTS;
   }
 
   snapshot(): readonly RememberedRequest[] {
--- a/packages/coordination/tests/control/control_state.test.ts
+++ b/packages/coordination/tests/control/control_state.test.ts
@@ -124,6 +124,9 @@
     state.apply(accept('r1'), 7);
     const second = state.apply(accept('r2', {baseRevision: 7}), 7);
     expect(second.outcome).to.equal('conflict');
+    expect(state.policy.teams).to.have.length(1);
+    state.apply(accept('r3', {team: 'floors'}), 7);
+    expect(state.policy.teams).to.have.length(2);
   });
 
   it('keeps draining over a restart, so that a command never reverts', () => {
