--- a/packages/storage/src/segment_writer.ts
+++ b/packages/storage/src/segment_writer.ts
@@ -132,6 +132,9 @@
 
   /** Drops whole segments whose records are all before `index`. */
   async truncateBefore(index: number): Promise<void> {
+    const {first, next} = this.last();
+    // Otherwise each start would read records that nobody needs.
+    if (next > first && next <= index) await this.startSegment();
     const {files, folder} = this.options;
     const kept = this.segments.findIndex(segment => segment.next > index);
     const count = kept === -1 ? this.segments.length - 1 : kept;
