--- a/packages/storage/src/journal_segments.ts
+++ b/packages/storage/src/journal_segments.ts
@@ -44,6 +44,11 @@
   return `${folder}/${String(first).padStart(16, '0')}.journal`;
 }
 
+/** View of the same memory; `Buffer.from` of an array would copy it. */
+function bufferOf(bytes: Uint8Array): Buffer {
+  return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length);
+}
+
 function firstOf(path: string): number {
   return Number(path.slice(-'0000000000000000.journal'.length, -8));
 }
@@ -92,7 +97,7 @@
   newest: boolean,
   onRecord: (record: JournalRecord) => void,
 ): Promise<SegmentScan> {
-  const content = Buffer.from(await files.readFile(path));
+  const content = bufferOf(await files.readFile(path));
   const named = firstOf(path);
   const torn = (at: number, next: number): SegmentScan => {
     if (!newest) {
@@ -130,7 +135,7 @@
   segment: Segment,
   sequence: number,
 ): Promise<number> {
-  const content = Buffer.from(await files.readFile(segment.path));
+  const content = bufferOf(await files.readFile(segment.path));
   let at = SEGMENT_HEADER_BYTES;
   for (let next = segment.first; next < sequence; next++) {
     const frame = decodeFrame(content, at);
--- a/packages/storage/src/simulated_file_system.ts
+++ b/packages/storage/src/simulated_file_system.ts
@@ -68,6 +68,7 @@
   private readonly failures = new Map<FileOperation, string>();
   private readonly identity = randomUUID();
   private freeBytes = Infinity;
+  private stopped = false;
 
   /** Lets an operation fail with a system code, or succeed with undefined. */
   fail(operation: FileOperation, code: string | undefined): void {
@@ -93,6 +94,21 @@
     }
   }
 
+  /**
+   * Like `crash`, for a process that may still be running: everything fails
+   * for it from now on, and the file system returned is that of the next one.
+   */
+  restart(tornBytes = 0): SimulatedFileSystem {
+    this.crash(tornBytes);
+    const next = new SimulatedFileSystem();
+    for (const [name, {synced}] of this.names) {
+      next.names.set(name, {written: synced, synced});
+    }
+    next.syncedNames = new Map(next.names);
+    this.stopped = true;
+    return next;
+  }
+
   /** Replaces the content of a file, written and synced. */
   damage(path: string, change: (content: Buffer) => Buffer): void {
     const file = this.fileAt(path);
@@ -157,7 +173,7 @@
   /** Counts a call and throws the injected failure. */
   enter(operation: FileOperation, path: string): void {
     this.calls.set(operation, (this.calls.get(operation) ?? 0) + 1);
-    const code = this.failures.get(operation);
+    const code = this.stopped ? 'EIO' : this.failures.get(operation);
     if (code !== undefined) throw systemError(code, path);
   }
 
