--- a/packages/coordination/src/upstreams/peer_claims.ts
+++ b/packages/coordination/src/upstreams/peer_claims.ts
@@ -28,6 +28,8 @@
 /** Claims by peer. */
 export class PeerClaims {
   private readonly peers = new Map<string, Peer>();
+  /** Peers that may hold an address; those that don't are removed on reading. */
+  private readonly candidates = new Map<string, Set<string>>();
 
   /** Prepares for a message of the sender; false when its session is over. */
   open(sender: RegistrySender): boolean {
@@ -74,6 +76,9 @@
 
   hold(from: string, id: UpstreamId): void {
     this.peers.get(from)?.held.set(id.address, id.incarnation);
+    const names = this.candidates.get(id.address);
+    if (names === undefined) this.candidates.set(id.address, new Set([from]));
+    else names.add(from);
   }
 
   release(from: string, id: UpstreamId): void {
@@ -91,13 +96,17 @@
     aliveSinceMs: number,
   ): {readonly name: string; readonly heardAtMs: number} | undefined {
     let found: {name: string; heardAtMs: number} | undefined;
-    for (const [name, peer] of this.peers) {
+    const names = this.candidates.get(id.address) ?? [];
+    for (const name of names) {
+      const peer = this.peers.get(name);
+      if (peer === undefined) continue;
       for (const {held, heardAtMs = -Infinity} of [peer, peer.earlier]) {
         if (held.get(id.address) !== id.incarnation) continue;
         if (heardAtMs <= aliveSinceMs) continue;
         if (found === undefined || name < found.name) found = {name, heardAtMs};
       }
     }
+    this.dropCandidates(id.address);
     return found;
   }
 
@@ -116,4 +125,15 @@
       peer.heardAtMs = undefined;
     }
   }
+
+  private dropCandidates(address: string): void {
+    const names = this.candidates.get(address);
+    if (names === undefined) return;
+    for (const name of names) {
+      const peer = this.peers.get(name);
+      if (peer?.held.has(address) || peer?.earlier.held.has(address)) continue;
+      names.delete(name);
+    }
+    if (names.size === 0) this.candidates.delete(address);
+  }
 }
