Fix command line cases found in review

answers apply reported failure when an accepted change could not be compared with earlier answers that are no longer valid, and did not print the revision that a repeat needs. A connect timeout was reported as a lost reply. Settings in other encodings were accepted.

--- a/packages/cli/src/api_client.ts
+++ b/packages/cli/src/api_client.ts
@@ -182,7 +182,9 @@
       body: request.body ?? null,
       headersTimeout: limitMs,
       bodyTimeout: limitMs,
-      signal: AbortSignal.timeout(limitMs),
+      // Leaves connecting its own time, so that a connect timeout is seen as
+      // such and not as a lost reply.
+      signal: AbortSignal.timeout(limitMs + timeoutMs),
     });
     const body = parseBody(await reply.body.text());
     if (reply.statusCode < 400) {
--- a/packages/cli/src/command.ts
+++ b/packages/cli/src/command.ts
@@ -124,6 +124,10 @@
       `"${text}" is not a URL such as ${DEFAULT_URL}, see --url`,
     );
   }
+  // The routes of the API are fixed, so a path would be dropped silently.
+  if (url.pathname !== '/' || url.search !== '' || url.username !== '') {
+    throw new UsageError(`"${text}" must have no path, query or user name`);
+  }
   return url.origin;
 }
 
--- a/packages/cli/src/commands/answers_apply.ts
+++ b/packages/cli/src/commands/answers_apply.ts
@@ -1,8 +1,8 @@
 /** `mustardferry answers apply`: submits the answers of a team. */
 import {randomUUID} from 'node:crypto';
 
-import {diffPolicies, generatePolicy} from '@mustardferry/config';
-import type {AnswersView} from '@mustardferry/model';
+import {AnswersError, diffPolicies, generatePolicy} from '@mustardferry/config';
+import type {AnswersView, TeamPolicy} from '@mustardferry/model';
 
 import {type ApiClient, objectBody} from '../api_client.js';
 import {
@@ -37,6 +37,30 @@
   }
 }
 
+/** Text for an accepted change: the new revision and each changed answer. */
+function describeAccepted(
+  accepted: Readonly<Record<string, unknown>>,
+  current: AnswersView | undefined,
+  after: TeamPolicy,
+): string {
+  const note =
+    accepted.repeated === true
+      ? ' (stored reply to an earlier identical request)'
+      : '';
+  const lines = [
+    `accepted: team ${after.team}, revision ${String(accepted.revision)}${note}`,
+  ];
+  try {
+    const before = current && generatePolicy(current.text);
+    lines.push(...diffPolicies(before, after));
+  } catch (err) {
+    // The change is in force, so an unreadable predecessor is not a failure.
+    if (!(err instanceof AnswersError)) throw err;
+    lines.push('the earlier answers are not valid any more; no comparison');
+  }
+  return lines.map(line => `${line}\n`).join('');
+}
+
 export const answersApplyCommand: Command = {
   path: ['answers', 'apply'],
   positionals: '<file>',
@@ -66,10 +90,11 @@
     const after = generatePolicy(input, file);
     const given = integerArg(args, 'revision', 0, Number.MAX_SAFE_INTEGER);
     const requestId = textArg(args, 'request-id') ?? randomUUID();
-    context.err(`request id ${requestId}\n`);
     return withClient(args, context, async client => {
       const current = await currentAnswers(client, after.team);
       const revision = given ?? current?.revision ?? 0;
+      // Both are needed to repeat the command after an unknown outcome.
+      context.err(`--request-id ${requestId} --revision ${revision}\n`);
       const reply = await client.send({
         method: 'PUT',
         path: `/v1/answers/${encodeURIComponent(after.team)}`,
@@ -81,19 +106,10 @@
         body: Buffer.from(input).toString('utf8'),
       });
       const accepted = objectBody(reply);
-      if (switchArg(args, 'json')) {
-        context.out(formatJson(accepted));
-        return EXIT.SUCCESS;
-      }
-      const before =
-        current === undefined ? undefined : generatePolicy(current.text);
       context.out(
-        [
-          `accepted: team ${after.team}, revision ${String(accepted.revision)}${accepted.repeated === true ? ' (stored reply to an earlier identical request)' : ''}`,
-          ...diffPolicies(before, after),
-        ]
-          .map(line => `${line}\n`)
-          .join(''),
+        switchArg(args, 'json')
+          ? formatJson(accepted)
+          : describeAccepted(accepted, current, after),
       );
       return EXIT.SUCCESS;
     });
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -20,6 +20,11 @@
   pause: ms => pause(ms),
 };
 
+// A reader such as `head` may close the pipe before all output is written.
+process.stdout.on('error', (err: NodeJS.ErrnoException) => {
+  if (err.code !== 'EPIPE') throw err;
+});
+
 // Node.js sets two leading words also inside a single executable application.
 runCli(process.argv.slice(2), context).then(
   code => {
--- a/packages/cli/tests/api_client.test.ts
+++ b/packages/cli/tests/api_client.test.ts
@@ -120,6 +120,19 @@
     expect(code).to.equal(3);
   });
 
+  it('gives up on silent connections and reports an unknown outcome', async () => {
+    const server = await new StandIn(() => 'stay-silent').start();
+    const {code} = await run([
+      'drain',
+      '--timeout-ms',
+      '100',
+      '--url',
+      server.url,
+    ]);
+    await server.stop();
+    expect([code, server.received.length]).to.deep.equal([4, 2]);
+  });
+
   it('sends the bearer token of the token file', async () => {
     const server = await new StandIn(() => ({
       status: 200,
--- a/packages/cli/tests/cli.test.ts
+++ b/packages/cli/tests/cli.test.ts
@@ -29,6 +29,10 @@
     {args: 'job', message: 'a command is missing: submit, watch, cancel'},
     {args: 'shares --url', message: 'Not enough arguments following: url'},
     {args: 'shares --url here', message: '"here" is not a URL'},
+    {
+      args: 'shares --url http://127.0.0.1:1/api',
+      message: 'must have no path',
+    },
     {
       args: 'shares --timeout-ms 1s',
       message: '--timeout-ms must be a whole number',
--- a/packages/cli/tests/commands.test.ts
+++ b/packages/cli/tests/commands.test.ts
@@ -42,6 +42,20 @@
     );
   });
 
+  it('reports success when only the earlier answers can not be compared', async () => {
+    const current = {team: 'payments', revision: 7, text: 'no longer valid'};
+    const result = await runAgainst(
+      ['answers', 'apply', ANSWERS],
+      ({method}) =>
+        method === 'GET' ? {status: 200, body: current} : accepted,
+    );
+    expect([result.code, result.out.includes('revision 8')]).to.deep.equal([
+      0,
+      true,
+    ]);
+    expect(result.err).to.match(/--request-id \S+ --revision 7/);
+  });
+
   it('bases a new team on revision 0', async () => {
     const result = await runAgainst(
       ['answers', 'apply', ANSWERS],
--- a/packages/cli/tests/stand_in.ts
+++ b/packages/cli/tests/stand_in.ts
@@ -17,7 +17,9 @@
 export type Reaction =
   | {readonly status: number; readonly body: unknown}
   /** Closes the connection without a reply, as a dying instance does. */
-  | 'lose-reply';
+  | 'lose-reply'
+  /** Keeps the connection open without a reply, as a silent partition does. */
+  | 'stay-silent';
 
 /** Answers requests with a script and records them. */
 export class StandIn {
@@ -42,6 +44,7 @@
         req.raw.socket.destroy();
         return reply.hijack();
       }
+      if (reaction === 'stay-silent') return reply.hijack();
       return reply.status(reaction.status).send(reaction.body);
     });
   }
--- a/packages/config/src/settings/settings_file.ts
+++ b/packages/config/src/settings/settings_file.ts
@@ -97,12 +97,12 @@
 /**
  * Reads and parses a settings file.
  *
- * @throws SettingsError when the file can't be read or is invalid.
+ * @throws SettingsError when the file can't be read, is not UTF-8 or is invalid.
  */
 export async function loadSettings(file: string): Promise<InstanceSettings> {
   let text: string;
   try {
-    text = await readFile(file, 'utf8');
+    text = new TextDecoder('utf-8', {fatal: true}).decode(await readFile(file));
   } catch (cause) {
     const reason = `can't be read: ${cause instanceof Error ? cause.message : String(cause)}`;
     throw new SettingsError([{file, section: '', key: '', reason}], {cause});
