--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,9 +1,3 @@
-import type {InstanceSettings} from '@mustardferry/model';
-
-/** Starts an entry instance; resolves to the exit code of the process. */
-export async function runInstance(
-  _settings: InstanceSettings,
-): Promise<number> {
-  process.stderr.write('this build does not contain the entry instance\n');
-  return 1;
-}
+export {PROBLEM_CATALOG, type ProblemCode} from './http/problems.js';
+export {EntryInstance, type EntryInstanceOptions} from './instance.js';
+export {runInstance} from './run_instance.js';
