--- a/packages/cli/src/command.ts
+++ b/packages/cli/src/command.ts
@@ -1,5 +1,6 @@
 /** Description of a command, from which parser, help and pages are made. */
 import {readFile} from 'node:fs/promises';
+import {userInfo} from 'node:os';
 
 import type {InstanceSettings} from '@mustardferry/model';
 import type {Options} from 'yargs';
@@ -66,6 +67,15 @@
   },
 } as const satisfies Readonly<Record<string, Options>>;
 
+/** Flag of the commands that leave an entry in the audit trail. */
+export const OPERATOR_FLAG = {
+  operator: {
+    type: 'string',
+    requiresArg: true,
+    describe: 'Name for the audit trail (default: the login name)',
+  },
+} as const satisfies Readonly<Record<string, Options>>;
+
 /** Value of a flag that may be given once. */
 export function textArg(
   args: CommandArguments,
@@ -94,6 +104,15 @@
   return (Array.isArray(value) ? value : [value]).map(String);
 }
 
+/** Value of the `Operator` header. */
+export function operatorOf(args: CommandArguments): string {
+  const name = textArg(args, 'operator') ?? userInfo().username;
+  if (!/^[\x21-\x7e]{1,128}$/.test(name)) {
+    throw new UsageError('--operator must be printable ASCII without spaces');
+  }
+  return name;
+}
+
 /** Whether a switch was given. */
 export function switchArg(args: CommandArguments, name: string): boolean {
   return args[name] === true;
--- a/packages/cli/src/commands/answers_apply.ts
+++ b/packages/cli/src/commands/answers_apply.ts
@@ -10,13 +10,14 @@
   CONNECTION_FLAGS,
   integerArg,
   JSON_FLAG,
+  OPERATOR_FLAG,
+  operatorOf,
   positionalArg,
   readInput,
   switchArg,
   textArg,
   withClient,
 } from '../command.js';
-import {ProblemError} from '../errors.js';
 import {EXIT} from '../exit_codes.js';
 import {formatJson} from '../output.js';
 
@@ -25,16 +26,10 @@
   client: ApiClient,
   team: string,
 ): Promise<AnswersView | undefined> {
-  try {
-    const path = `/v1/answers/${encodeURIComponent(team)}`;
-    const reply = await client.send({method: 'GET', path});
-    return objectBody(reply) as unknown as AnswersView;
-  } catch (err) {
-    if (err instanceof ProblemError && err.code === 'unknown-team') {
-      return undefined;
-    }
-    throw err;
-  }
+  const path = `/v1/answers/${encodeURIComponent(team)}`;
+  const reply = await client.send({method: 'GET', path});
+  const view = objectBody(reply) as unknown as AnswersView;
+  return view.revision === 0 ? undefined : view;
 }
 
 /** Text for an accepted change: the new revision and each changed answer. */
@@ -68,6 +63,7 @@
   flags: {
     ...CONNECTION_FLAGS,
     ...JSON_FLAG,
+    ...OPERATOR_FLAG,
     revision: {
       type: 'string',
       requiresArg: true,
@@ -90,6 +86,7 @@
     const after = generatePolicy(input, file);
     const given = integerArg(args, 'revision', 0, Number.MAX_SAFE_INTEGER);
     const requestId = textArg(args, 'request-id') ?? randomUUID();
+    const operator = operatorOf(args);
     return withClient(args, context, async client => {
       const current = await currentAnswers(client, after.team);
       const revision = given ?? current?.revision ?? 0;
@@ -101,6 +98,7 @@
         headers: {
           'content-type': 'text/plain; charset=utf-8',
           'if-match': `"${revision}"`,
+          operator,
           'request-id': requestId,
         },
         body: Buffer.from(input).toString('utf8'),
--- a/packages/cli/src/commands/answers_show.ts
+++ b/packages/cli/src/commands/answers_show.ts
@@ -27,6 +27,10 @@
         path: `/v1/answers/${team}`,
       });
       const view = objectBody(reply);
+      if (view.revision === 0) {
+        context.err('no answers of this team are in force\n');
+        return EXIT.FAILED;
+      }
       if (switchArg(args, 'json')) {
         context.out(formatJson(view));
       } else {
--- a/packages/cli/src/commands/job_cancel.ts
+++ b/packages/cli/src/commands/job_cancel.ts
@@ -7,8 +7,10 @@
   switchArg,
   withClient,
 } from '../command.js';
+import {ProblemError} from '../errors.js';
 import {EXIT} from '../exit_codes.js';
 import {formatJob, jobViewOf} from '../job_view.js';
+import {formatJson} from '../output.js';
 
 export const jobCancelCommand: Command = {
   path: ['job', 'cancel'],
@@ -20,9 +22,17 @@
     withClient(args, context, async client => {
       const jobId = positionalArg(args, 'job');
       const path = `/v1/jobs/${encodeURIComponent(jobId)}`;
-      const reply = await client.send({method: 'DELETE', path});
-      const view = jobViewOf(reply, jobId);
-      context.out(formatJob(view, switchArg(args, 'json')));
+      try {
+        const reply = await client.send({method: 'DELETE', path});
+        const view = jobViewOf(reply, jobId);
+        context.out(formatJob(view, switchArg(args, 'json')));
+      } catch (err) {
+        // A job that was cancelled in time is answered by the error of a GET.
+        if (!(err instanceof ProblemError) || err.code !== 'cancelled')
+          throw err;
+        const text = `job ${jobId} cancelled\n`;
+        context.out(switchArg(args, 'json') ? formatJson(err.problem) : text);
+      }
       return EXIT.SUCCESS;
     }),
 };
--- a/packages/cli/tests/audit_chain.test.ts
+++ b/packages/cli/tests/audit_chain.test.ts
@@ -1,3 +1,4 @@
+import {auditHash as hashOfControlState} from '@mustardferry/coordination';
 import type {AuditEntry} from '@mustardferry/model';
 import {expect} from 'chai';
 
@@ -108,4 +109,11 @@
       '4b75e3d4c337277a92c1d595de7821c381ced58de92efdbe1fd93df767ab02a9',
     );
   });
+
+  it('accepts the hashes that instances compute, so that a sound trail is not reported as forged', () => {
+    for (const [at, entry] of whole.entries()) {
+      const previousHash = whole[at - 1]?.hash ?? '';
+      expect(hashOfControlState(previousHash, entry)).to.equal(entry.hash);
+    }
+  });
 });
