--- a/packages/cli/src/commands/answers_apply.ts
+++ b/packages/cli/src/commands/answers_apply.ts
@@ -1,8 +1,8 @@
 /** `mustardferry answers apply`: submits the answers of a team. */
 import {randomUUID} from 'node:crypto';
 
-import {diffPolicies, generatePolicy} from '@mustardferry/config';
-import type {AnswersView} from '@mustardferry/model';
+import {AnswersError, diffPolicies, generatePolicy} from '@mustardferry/config';
+import type {AnswersView, TeamPolicy} from '@mustardferry/model';
 
 import {type ApiClient, objectBody} from '../api_client.js';
 import {
@@ -10,13 +10,14 @@
   CONNECTION_FLAGS,
   integerArg,
   JSON_FLAG,
+  OPERATOR_FLAG,
+  operatorOf,
   positionalArg,
   readInput,
   switchArg,
   textArg,
   withClient,
 } from '../command.js';
-import {ProblemError} from '../errors.js';
 import {EXIT} from '../exit_codes.js';
 import {formatJson} from '../output.js';
 
@@ -25,16 +26,34 @@
   client: ApiClient,
   team: string,
 ): Promise<AnswersView | undefined> {
+  const path = `/v1/answers/${encodeURIComponent(team)}`;
+  const reply = await client.send({method: 'GET', path});
+  const view = objectBody(reply) as unknown as AnswersView;
+  return view.revision === 0 ? undefined : view;
+}
+
+/** Text for an accepted change: the new revision and each changed answer. */
+function describeAccepted(
+  accepted: Readonly<Record<string, unknown>>,
+  current: AnswersView | undefined,
+  after: TeamPolicy,
+): string {
+  const note =
+    accepted.repeated === true
+      ? ' (stored reply to an earlier identical request)'
+      : '';
+  const lines = [
+    `accepted: team ${after.team}, revision ${String(accepted.revision)}${note}`,
+  ];
   try {
-    const path = `/v1/answers/${encodeURIComponent(team)}`;
-    const reply = await client.send({method: 'GET', path});
-    return objectBody(reply) as unknown as AnswersView;
+    const before = current && generatePolicy(current.text);
+    lines.push(...diffPolicies(before, after));
   } catch (err) {
-    if (err instanceof ProblemError && err.code === 'unknown-team') {
-      return undefined;
-    }
-    throw err;
+    // The change is in force, so an unreadable predecessor is not a failure.
+    if (!(err instanceof AnswersError)) throw err;
+    lines.push('the earlier answers are not valid any more; no comparison');
   }
+  return lines.map(line => `${line}\n`).join('');
 }
 
 export const answersApplyCommand: Command = {
@@ -44,6 +63,7 @@
   flags: {
     ...CONNECTION_FLAGS,
     ...JSON_FLAG,
+    ...OPERATOR_FLAG,
     revision: {
       type: 'string',
       requiresArg: true,
@@ -66,34 +86,28 @@
     const after = generatePolicy(input, file);
     const given = integerArg(args, 'revision', 0, Number.MAX_SAFE_INTEGER);
     const requestId = textArg(args, 'request-id') ?? randomUUID();
-    context.err(`request id ${requestId}\n`);
+    const operator = operatorOf(args);
     return withClient(args, context, async client => {
       const current = await currentAnswers(client, after.team);
       const revision = given ?? current?.revision ?? 0;
+      // Both are needed to repeat the command after an unknown outcome.
+      context.err(`--request-id ${requestId} --revision ${revision}\n`);
       const reply = await client.send({
         method: 'PUT',
         path: `/v1/answers/${encodeURIComponent(after.team)}`,
         headers: {
           'content-type': 'text/plain; charset=utf-8',
           'if-match': `"${revision}"`,
+          operator,
           'request-id': requestId,
         },
         body: Buffer.from(input).toString('utf8'),
       });
       const accepted = objectBody(reply);
-      if (switchArg(args, 'json')) {
-        context.out(formatJson(accepted));
-        return EXIT.SUCCESS;
-      }
-      const before =
-        current === undefined ? undefined : generatePolicy(current.text);
       context.out(
-        [
-          `accepted: team ${after.team}, revision ${String(accepted.revision)}${accepted.repeated === true ? ' (stored reply to an earlier identical request)' : ''}`,
-          ...diffPolicies(before, after),
-        ]
-          .map(line => `${line}\n`)
-          .join(''),
+        switchArg(args, 'json')
+          ? formatJson(accepted)
+          : describeAccepted(accepted, current, after),
       );
       return EXIT.SUCCESS;
     });
