Add the model checker for the log, takeover and configuration

npm run check:model explores the real step function breadth-first within stated bounds. Six seeded faults are each found with a shortest trace. Two findings during the work: the model had held in-memory vote replies behind unrelated writes (model fault), and a trace showed that losing the second holder of a start after it was known twice is allowed, so the check asks for "was known to two members" instead of "is known now".

LogStatus.recovered tells when a restarted member may show its state.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -1,17 +1,20 @@
+export type {
+  LogEffect,
+  LogEvent,
+  LogStep,
+} from './replicated_log/core_events.js';
 export type {
   CoreStart,
   LogCoreConfig,
   LogCoreState,
-  LogEffect,
-  LogEvent,
   LogRole,
-  LogStep,
   PendingRead,
   Progress,
   VoterConfig,
 } from './replicated_log/core_state.js';
 export {
   entryAt,
+  hasRecovered,
   initialState,
   lastIndex,
   termAt,
--- a/packages/coordination/src/replicated_log/core_runner.ts
+++ b/packages/coordination/src/replicated_log/core_runner.ts
@@ -1,11 +1,10 @@
 /** Feeds events to the core one at a time, and ticks at its deadlines. */
+import type {LogEffect, LogEvent} from './core_events.js';
 import {
   type CoreStart,
   initialState,
   type LogCoreConfig,
   type LogCoreState,
-  type LogEffect,
-  type LogEvent,
 } from './core_state.js';
 import {step} from './step.js';
 
--- a/packages/coordination/src/replicated_log/effect_runner.ts
+++ b/packages/coordination/src/replicated_log/effect_runner.ts
@@ -1,7 +1,7 @@
 /** Carries out the core's storage and message effects. */
 import {assertNever} from '@mustardferry/model';
 
-import type {LogEffect} from './core_state.js';
+import type {LogEffect} from './core_events.js';
 import type {LogStorage} from './log_storage.js';
 import type {LogTransport} from './log_transport.js';
 
--- a/packages/coordination/src/replicated_log/log_options.ts
+++ b/packages/coordination/src/replicated_log/log_options.ts
@@ -67,6 +67,12 @@
   readonly leader: MemberId | null;
   readonly commitIndex: number;
   readonly appliedIndex: number;
+  /**
+   * Whether this life has applied an entry of a current term, and with it all
+   * entries committed earlier. Until then the state may be older than one that
+   * this member showed before its restart.
+   */
+  readonly recovered: boolean;
   readonly lastIndex: number;
   readonly voters: readonly MemberId[];
   /**
--- a/packages/coordination/src/replicated_log/log_status.ts
+++ b/packages/coordination/src/replicated_log/log_status.ts
@@ -11,7 +11,7 @@
 /** Status of a member at a time. */
 export function statusOf<C>(
   state: LogCoreState<C>,
-  appliedIndex: number,
+  applied: {readonly appliedIndex: number; readonly recovered: boolean},
   clock: {readonly now: number; readonly cfg: LogCoreConfig},
 ): LogStatus {
   const {now} = clock;
@@ -23,7 +23,7 @@
     term: state.term,
     leader: state.leader,
     commitIndex: state.commitIndex,
-    appliedIndex,
+    ...applied,
     lastIndex: lastIndex(state),
     voters: state.config.voters,
     confirmedMsAgo: now - confirmedAt,
--- a/packages/coordination/src/replicated_log/machine_runner.ts
+++ b/packages/coordination/src/replicated_log/machine_runner.ts
@@ -1,7 +1,7 @@
 /** Applies committed entries to the state machine and takes its snapshots. */
 import {must} from '@mustardferry/model';
 
-import {entryAt, type LogCoreState} from './core_state.js';
+import {entryAt, hasRecovered, type LogCoreState} from './core_state.js';
 import type {LogSnapshot} from './log_entries.js';
 import type {FetchedLog} from './log_feed.js';
 import type {LogSettings} from './log_options.js';
@@ -15,6 +15,7 @@
 export class MachineRunner<C, R> {
   private readonly machine: StateMachine<C, R>;
   private applied = 0;
+  private hasRecovered = false;
 
   constructor(machine: StateMachine<C, R>, snapshot: LogSnapshot) {
     this.machine = machine;
@@ -25,6 +26,11 @@
     return this.applied;
   }
 
+  /** Whether this life applied all that was committed before it. */
+  get recovered(): boolean {
+    return this.hasRecovered;
+  }
+
   /** Applies up to the commit index, from an installed snapshot if needed. */
   applyUpTo(
     state: LogCoreState<C>,
@@ -38,6 +44,7 @@
       this.applied = index;
       onApplied(index, results);
     }
+    this.hasRecovered ||= hasRecovered(state);
   }
 
   /**
--- a/packages/coordination/src/replicated_log/replicated_log.ts
+++ b/packages/coordination/src/replicated_log/replicated_log.ts
@@ -1,11 +1,7 @@
 /** Driver of the log's core: timers, storage, messages, the state machine. */
+import type {LogEffect} from './core_events.js';
 import {CoreRunner} from './core_runner.js';
-import {
-  committedInTerm,
-  lastIndex,
-  type LogCoreState,
-  type LogEffect,
-} from './core_state.js';
+import {committedInTerm, lastIndex, type LogCoreState} from './core_state.js';
 import {EffectRunner} from './effect_runner.js';
 import {LeadershipNotifier} from './leadership.js';
 import {LogFailedError, NotLeaderError} from './log_errors.js';
@@ -178,7 +174,7 @@
 
   status(): LogStatus {
     const clock = {now: performance.now(), cfg: this.settings};
-    return statusOf(this.core.state, this.machine.appliedIndex, clock);
+    return statusOf(this.core.state, this.machine, clock);
   }
 
   fetch(afterIndex: number, maxEntries: number): FetchedLog<C> {
--- a/packages/coordination/src/replicated_log/step.ts
+++ b/packages/coordination/src/replicated_log/step.ts
@@ -5,15 +5,13 @@
  */
 import {assertNever} from '@mustardferry/model';
 
+import type {LogEffect, LogEvent, LogStep} from './core_events.js';
 import {
   configOf,
   isVoter,
   lastIndex,
   type LogCoreConfig,
   type LogCoreState,
-  type LogEffect,
-  type LogEvent,
-  type LogStep,
   termAt,
 } from './core_state.js';
 import {
--- a/packages/coordination/src/replicated_log/step_context.ts
+++ b/packages/coordination/src/replicated_log/step_context.ts
@@ -1,5 +1,6 @@
 /** Working set of one step of the core: its inputs and the collected effects. */
-import type {LogCoreConfig, LogCoreState, LogEffect} from './core_state.js';
+import type {LogEffect} from './core_events.js';
+import type {LogCoreConfig, LogCoreState} from './core_state.js';
 import type {LogMessage} from './log_messages.js';
 import type {MemberId} from './members.js';
 
--- /dev/null
+++ b/packages/verification/src/faults.ts
@@ -0,0 +1,14 @@
+/** Faults that the checker can seed, each to show that it would be found. */
+
+/** Names of the seeded faults. */
+export const FAULTS = [
+  'vote-after-lost-memory',
+  'acknowledge-before-sync',
+  'no-epoch-check',
+  'forward-to-non-home',
+  'start-before-sync',
+  'serve-before-recovery',
+] as const;
+
+/** A seeded fault. */
+export type Fault = (typeof FAULTS)[number];
