--- a/packages/coordination/src/replicated_log/log_options.ts
+++ b/packages/coordination/src/replicated_log/log_options.ts
@@ -74,6 +74,7 @@
    */
   readonly recovered: boolean;
   readonly lastIndex: number;
+  /** Committed voters; a replacement shows once it is committed. */
   readonly voters: readonly MemberId[];
   /**
    * Age of the last sign that a leader is in charge: on the leader, of the
