Record a group that stops after losing the leader in a repair

Trial schedules (generator seed 2, path 104) found that a replacement whose commit only the lost leader knew leaves the other members waiting for a majority of the old voter set.

npx mocha -f 'seed 2, path 104': 1 failing (progress: expected +0 to equal 1).

--- a/packages/coordination/tests/replicated_log/schedules.test.ts
+++ b/packages/coordination/tests/replicated_log/schedules.test.ts
@@ -61,6 +61,14 @@
         {seed: GENERATOR_SEED, numRuns: 60, endOnFailure: true},
       )).timeout(120_000);
   }
+
+  it('in-memory, seed 2, path 104: the loss of the leader right after a repair does not stop the group', () =>
+    fc.assert(
+      fc.asyncProperty(schedules, schedule =>
+        runSchedule('in-memory', schedule),
+      ),
+      {seed: 2, path: '104', endOnFailure: true},
+    )).timeout(120_000);
 });
 
 class ScheduleRun {
