--- a/packages/cli/src/audit_chain.ts
+++ b/packages/cli/src/audit_chain.ts
@@ -1,34 +1,7 @@
 /** Check of the hash chain of the audit trail. */
-import {createHash} from 'node:crypto';
-
+import {auditHash} from '@mustardferry/coordination';
 import type {AuditEntry} from '@mustardferry/model';
 
-/**
- * Hash of an entry: SHA-256, hex, over the previous entry's hash, a line feed
- * and the entry as JSON without `hash`, members in the order of `AuditEntry`.
- */
-export function auditHash(
-  previousHash: string,
-  entry: Omit<AuditEntry, 'hash'>,
-): string {
-  const content = JSON.stringify({
-    index: entry.index,
-    atMs: entry.atMs,
-    operator: entry.operator,
-    requestId: entry.requestId,
-    action: entry.action,
-    team: entry.team,
-    fromRevision: entry.fromRevision,
-    toRevision: entry.toRevision,
-    before: entry.before,
-    after: entry.after,
-    detail: entry.detail,
-  });
-  return createHash('sha256')
-    .update(`${previousHash}\n${content}`)
-    .digest('hex');
-}
-
 /** Progress of a check over consecutive pages. */
 export interface ChainPosition {
   /** Index of the last entry checked; 0 before the first. */
--- a/packages/coordination/src/control/audit_chain.ts
+++ b/packages/coordination/src/control/audit_chain.ts
@@ -16,23 +16,27 @@
       readonly fault: 'changed' | 'missing' | 'reordered';
     };
 
-/** SHA-256, hex, over the previous hash and the members in a fixed order. */
+/**
+ * Hash of an entry: SHA-256, hex, over the previous entry's hash, a line feed
+ * and the entry as JSON without `hash`, members in the order of `AuditEntry`.
+ */
 export function auditHash(previousHash: string, entry: AuditContent): string {
-  const content = JSON.stringify([
-    previousHash,
-    entry.index,
-    entry.atMs,
-    entry.operator,
-    entry.requestId,
-    entry.action,
-    entry.team,
-    entry.fromRevision,
-    entry.toRevision,
-    entry.before,
-    entry.after,
-    entry.detail,
-  ]);
-  return createHash('sha256').update(content).digest('hex');
+  const content = JSON.stringify({
+    index: entry.index,
+    atMs: entry.atMs,
+    operator: entry.operator,
+    requestId: entry.requestId,
+    action: entry.action,
+    team: entry.team,
+    fromRevision: entry.fromRevision,
+    toRevision: entry.toRevision,
+    before: entry.before,
+    after: entry.after,
+    detail: entry.detail,
+  });
+  return createHash('sha256')
+    .update(`${previousHash}\n${content}`)
+    .digest('hex');
 }
 
 /**
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -45,20 +45,23 @@
   type TaskStart,
 } from './records/record_messages.js';
 export {DEFAULT_MAX_RECORDS, RecordsState} from './records/records_state.js';
+export type {
+  LogEffect,
+  LogEvent,
+  LogStep,
+} from './replicated_log/core_events.js';
 export type {
   CoreStart,
   LogCoreConfig,
   LogCoreState,
-  LogEffect,
-  LogEvent,
   LogRole,
-  LogStep,
   PendingRead,
   Progress,
   VoterConfig,
 } from './replicated_log/core_state.js';
 export {
   entryAt,
+  hasRecovered,
   initialState,
   lastIndex,
   termAt,
--- a/packages/coordination/src/replicated_log/elections.ts
+++ b/packages/coordination/src/replicated_log/elections.ts
@@ -14,7 +14,7 @@
 } from './core_state.js';
 import {quorumIsActive} from './leases.js';
 import type {VoteReply, VoteRequest} from './log_messages.js';
-import {type MemberId, memberKey} from './members.js';
+import {type MemberId, memberKey, sameMember} from './members.js';
 import {appendAsLeader, broadcast} from './replication.js';
 import {refuseReads, send, type StepContext} from './step_context.js';
 
@@ -51,6 +51,10 @@
   kind: 'pre-vote' | 'vote' | 'transfer',
 ): LogCoreState<C> {
   if (!isVoter(state)) return askToJoin(ctx, state);
+  // A replacement that never commits may be unknown to a later leader.
+  const {previous} = state.config;
+  const uncertain = previous?.every(voter => !sameMember(voter, state.self));
+  if (uncertain) askToJoin(ctx, state);
   const pre = kind === 'pre-vote';
   const self = memberKey(state.self);
   const next: LogCoreState<C> = {
@@ -214,7 +218,7 @@
   const progress = Object.fromEntries(
     otherVoters(state).map(member => [
       memberKey(member),
-      newProgress(member, lastIndex(state) + 1),
+      newProgress(member, lastIndex(state) + 1, ctx.now),
     ]),
   );
   const leader: LogCoreState<C> = {
@@ -232,7 +236,11 @@
 }
 
 /** Progress of a member that nothing is known about yet. */
-export function newProgress(member: MemberId, next: number): Progress {
+export function newProgress(
+  member: MemberId,
+  next: number,
+  addedAt: number,
+): Progress {
   return {
     member,
     match: 0,
@@ -240,6 +248,7 @@
     synced: 0,
     disk: false,
     ackedRound: 0,
+    addedAt,
     ackedAt: Number.NEGATIVE_INFINITY,
     snapshotSentAt: Number.NEGATIVE_INFINITY,
   };
