--- a/packages/bench/src/experiments/kill_test.ts
+++ b/packages/bench/src/experiments/kill_test.ts
@@ -113,6 +113,7 @@
       state.cluster.instances[draw(state.cluster.instances.length)],
       'no instance',
     );
+    const reported = state.findings.length;
     const killAfterMs = draw(KILL_WITHIN_MS);
     const downMs = draw(DOWN_AT_MOST_MS);
     try {
@@ -129,6 +130,8 @@
       if (!state.cluster.entry(victim.name).running) break;
     }
     state.rounds = round + 1;
+    const fresh = state.findings.slice(reported);
+    for (const finding of fresh) console.error(JSON.stringify(finding));
     if (state.rounds % 10 === 0) {
       console.log(`${state.rounds} rounds, ${state.findings.length} findings`);
     }
@@ -243,7 +246,7 @@
     JSON.stringify({...result, findings, violations}, undefined, 2),
   );
   console.log(JSON.stringify(result, undefined, 2));
-  for (const each of [...findings, ...violations].slice(0, 20)) {
+  for (const each of violations.slice(0, 20)) {
     console.error(JSON.stringify(each));
   }
   const completed = state.rounds === options.rounds;
