--- a/packages/bench/src/cluster/cluster.ts
+++ b/packages/bench/src/cluster/cluster.ts
@@ -1,5 +1,5 @@
 /** A deployment under test: entry instances, relay and stand-in workers. */
-import {mkdir, writeFile} from 'node:fs/promises';
+import {mkdir, rm, writeFile} from 'node:fs/promises';
 import {join} from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
 
@@ -163,6 +163,10 @@
     const {folder, policies, logLevel} = this.options;
     const settingsFile = join(folder, `${self.name}.ini`);
     const dataFolder = join(folder, `${self.name}-data`);
+    const logFile = join(folder, `${self.name}.log`);
+    // State of an earlier run would answer this run's keys.
+    await rm(dataFolder, {recursive: true, force: true});
+    await rm(logFile, {force: true});
     if (self.disk) await mkdir(dataFolder, {recursive: true});
     const text = settingsText({
       self,
@@ -177,7 +181,7 @@
       name: self.name,
       listen: self.listen,
       settingsFile,
-      logFile: join(folder, `${self.name}.log`),
+      logFile,
     });
     this.entries.push(entry);
     this.life.defer(self.name, () => entry.retire());
