Use one rule for the audit hash and one state machine class

Cause: the command line and the control state hashed audit entries in different ways, so a sound trail was reported as forged. Change: both use the hash of the coordination package; the duplicate StateMachine class is gone.

--- a/packages/cli/tests/audit_chain.test.ts
+++ b/packages/cli/tests/audit_chain.test.ts
@@ -1,8 +1,7 @@
-import {auditHash as hashOfControlState} from '@mustardferry/coordination';
+import {auditHash} from '@mustardferry/coordination';
 import type {AuditEntry} from '@mustardferry/model';
 import {expect} from 'chai';
 
-import {auditHash} from '../src/audit_chain.js';
 import {type Reaction, type Received, runAgainst} from './stand_in.js';
 
 function trail(length: number): AuditEntry[] {
@@ -113,7 +112,7 @@
   it('accepts the hashes that instances compute, so that a sound trail is not reported as forged', () => {
     for (const [at, entry] of whole.entries()) {
       const previousHash = whole[at - 1]?.hash ?? '';
-      expect(hashOfControlState(previousHash, entry)).to.equal(entry.hash);
+      expect(auditHash(previousHash, entry)).to.equal(entry.hash);
     }
   });
 });
--- a/packages/coordination/src/control/control_state.ts
+++ b/packages/coordination/src/control/control_state.ts
@@ -8,7 +8,7 @@
 import {pack, unpack} from 'msgpackr';
 
 import {SnapshotFormatError} from '../errors.js';
-import {StateMachine} from '../state_machine.js';
+import {StateMachine} from '../replicated_log/state_machine.js';
 import {invalid, refuseAnswers} from './answers_check.js';
 import {detailOf} from './audit_detail.js';
 import {AuditTail, type AuditTailSnapshot} from './audit_tail.js';
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -112,8 +112,8 @@
 } from './replicated_log/memory_log_storage.js';
 export {ReplicatedLog} from './replicated_log/replicated_log.js';
 export {durableIndex, isAcknowledged} from './replicated_log/replication.js';
+export {StateMachine} from './replicated_log/state_machine.js';
 export {step} from './replicated_log/step.js';
-export {StateMachine} from './state_machine.js';
 export {
   DiskLogStorage,
   type DiskLogStorageOptions,
--- a/packages/coordination/src/records/records_state.ts
+++ b/packages/coordination/src/records/records_state.ts
@@ -3,7 +3,7 @@
 import {pack, unpack} from 'msgpackr';
 
 import {SnapshotFormatError} from '../errors.js';
-import {StateMachine} from '../state_machine.js';
+import {StateMachine} from '../replicated_log/state_machine.js';
 import {approximateBytes} from './approximate_size.js';
 import {answerMatches, close, merge, recordOf} from './record_changes.js';
 import type {
