--- a/packages/decisions/src/routing/candidate_group.ts
+++ b/packages/decisions/src/routing/candidate_group.ts
@@ -2,7 +2,6 @@
 import {RESOURCE_NAMES, type Resources} from '@mustardferry/model';
 
 import {BucketSet} from '../common/bucket_set.js';
-import {IndexedHeap} from '../common/heap.js';
 import type {Candidate} from './candidate_index.js';
 
 /** Buckets for each doubling of the time factor. */
@@ -25,6 +24,11 @@
   return RESOURCE_NAMES.map(name => capacity[name]).join('/');
 }
 
+/** Time factor in the middle of a bucket. */
+export function bucketFactor(bucket: number): number {
+  return 2 ** ((bucket - (SPEED_BUCKETS - 1) / 2) / BUCKETS_PER_DOUBLING);
+}
+
 /** Index over one group. */
 export class CandidateGroup {
   /** With a free credit, by speed. */
@@ -35,10 +39,8 @@
   readonly free = new BucketSet<Candidate>(1);
   /** With a free credit and a speed that is not known yet. */
   readonly fresh = new BucketSet<Candidate>(1);
-  private readonly busy = Array.from(
-    {length: SPEED_BUCKETS},
-    () => new IndexedHeap<Candidate>((a, b) => a.nextFreeAtMs < b.nextFreeAtMs),
-  );
+  /** Running tasks on upstreams without a free credit, by speed. */
+  private readonly full = new Array<number>(SPEED_BUCKETS).fill(0);
 
   private readonly capacities = new Map<
     string,
@@ -62,11 +64,12 @@
   place(candidate: Candidate): void {
     if (candidate.freeCredits > 0) this.placeFree(candidate);
     else this.removeFree(candidate);
-    this.busy[candidate.busyBucket]?.remove(candidate);
+    this.uncount(candidate);
     const usable = candidate.available && candidate.held > 0;
-    if (!usable || candidate.freeCredits > 0 || candidate.running === 0) return;
-    candidate.busyBucket = speedBucket(candidate.speedFactor);
-    this.busy[candidate.busyBucket]?.push(candidate);
+    if (!usable || candidate.freeCredits > 0) return;
+    candidate.fullBucket = speedBucket(candidate.speedFactor);
+    candidate.fullCount = candidate.running;
+    this.addFull(candidate.fullBucket, candidate.fullCount);
   }
 
   remove(candidate: Candidate): void {
@@ -74,12 +77,21 @@
     const entry = this.capacities.get(id);
     if (entry && --entry.upstreams === 0) this.capacities.delete(id);
     this.removeFree(candidate);
-    this.busy[candidate.busyBucket]?.remove(candidate);
+    this.uncount(candidate);
+  }
+
+  /** Running tasks on full upstreams of a speed. */
+  fullRunning(bucket: number): number {
+    return this.full[bucket] ?? 0;
+  }
+
+  private uncount(candidate: Candidate): void {
+    this.addFull(candidate.fullBucket, -candidate.fullCount);
+    candidate.fullCount = 0;
   }
 
-  /** The full upstream of a speed that frees a slot first. */
-  nextFree(bucket: number): Candidate | undefined {
-    return this.busy[bucket]?.peek();
+  private addFull(bucket: number, count: number): void {
+    this.full[bucket] = (this.full[bucket] ?? 0) + count;
   }
 
   private placeFree(candidate: Candidate): void {
--- a/packages/decisions/src/routing/candidate_index.ts
+++ b/packages/decisions/src/routing/candidate_index.ts
@@ -20,12 +20,6 @@
   readonly capacity: Resources;
 }
 
-/** A task that runs on an upstream. */
-interface RunningTask {
-  readonly resources: Resources;
-  readonly expectedEndAtMs: number;
-}
-
 /** An upstream with its state on this instance. */
 export class Candidate {
   held = 0;
@@ -35,11 +29,11 @@
   samples = 0;
   /** Resources not taken by the tasks of this instance. */
   free: Resources;
-  nextFreeAtMs = Infinity;
-  /** For the heap of busy upstreams. */
-  heapIndex = -1;
-  busyBucket = 0;
-  readonly tasks = new Map<string, RunningTask>();
+  /** Its part in the count of running tasks on full upstreams. */
+  fullBucket = 0;
+  fullCount = 0;
+  /** Resources of the running tasks by id. */
+  readonly tasks = new Map<string, Resources>();
 
   constructor(
     readonly upstream: CandidateUpstream,
@@ -87,6 +81,14 @@
     return this.byKind.get(kind) ?? [];
   }
 
+  /** Running tasks on upstreams of the kind that are full, by speed. */
+  fullRunning(kind: string, bucket: number): number {
+    let running = 0;
+    for (const group of this.groupsOf(kind))
+      running += group.fullRunning(bucket);
+    return running;
+  }
+
   /** Whether some upstream with a free credit offers the kind. */
   hasFree(kind: string): boolean {
     return this.groupsOf(kind).some(group => group.free.size > 0);
@@ -138,39 +140,24 @@
   }
 
   /** Records that a task was sent to an upstream. */
-  started(
-    key: string,
-    taskId: string,
-    resources: Resources,
-    expectedEndAtMs: number,
-  ): void {
+  started(key: string, taskId: string, resources: Resources): void {
     this.change(key, candidate => {
       if (candidate.tasks.has(taskId)) return;
-      candidate.tasks.set(taskId, {resources, expectedEndAtMs});
+      candidate.tasks.set(taskId, resources);
       candidate.free = subtractResources(candidate.free, resources);
-      candidate.nextFreeAtMs = Math.min(
-        candidate.nextFreeAtMs,
-        expectedEndAtMs,
-      );
     });
   }
 
   /** Records that a task no longer runs on an upstream. */
   ended(key: string, taskId: string): void {
     this.change(key, candidate => {
-      const task = candidate.tasks.get(taskId);
-      if (!task) return;
+      const resources = candidate.tasks.get(taskId);
+      if (!resources) return;
       candidate.tasks.delete(taskId);
       candidate.free =
         candidate.tasks.size === 0
           ? candidate.upstream.capacity
-          : addResources(candidate.free, task.resources);
-      candidate.nextFreeAtMs = Infinity;
-      for (const {expectedEndAtMs} of candidate.tasks.values()) {
-        if (expectedEndAtMs < candidate.nextFreeAtMs) {
-          candidate.nextFreeAtMs = expectedEndAtMs;
-        }
-      }
+          : addResources(candidate.free, resources);
     });
   }
 
--- a/packages/decisions/src/routing/expected_end_routing.ts
+++ b/packages/decisions/src/routing/expected_end_routing.ts
@@ -3,7 +3,7 @@
  * soonest, as list scheduling on machines of different speed does (Graham,
  * 1969), with learned run times.
  */
-import {SPEED_BUCKETS, speedBucket} from './candidate_group.js';
+import {bucketFactor, SPEED_BUCKETS, speedBucket} from './candidate_group.js';
 import type {Candidate, CandidateIndex} from './candidate_index.js';
 import {
   isEligible,
@@ -17,9 +17,9 @@
 /** Options of the policy. */
 export interface ExpectedEndRoutingOptions {
   /**
-   * Gain that a wait must promise, as part of the run time. Default 0.5: with
-   * 0.1 the mean response at 80% load was longer than without waits, because
-   * the slot waited for is taken from another task.
+   * Gain that a wait must promise, as part of the run time. Default 0.2: a
+   * task that waits also delays those behind it, so the gain to the task alone
+   * overstates the benefit.
    */
   readonly minWaitGain?: number;
   /** Tasks that may run at once on an upstream of unknown speed. Default 1. */
@@ -37,27 +37,15 @@
 /** Least gain in milliseconds that justifies a wait; below it is noise. */
 const MIN_WAIT_GAIN_MS = 2;
 
-/** Time for a waiting task to ask again after its wait. */
-const RESERVATION_GRACE_MS = 5;
-/** Reservations kept; all are dropped when there would be more. */
-const MAX_RESERVATIONS = 1_024;
-
 interface Estimated {
   readonly candidate: Candidate;
   readonly runMs: number;
 }
 
-interface Reservation {
-  readonly taskId: string;
-  readonly untilMs: number;
-}
-
 /** Expected-end routing; costs the same for any number of candidates. */
 export class ExpectedEndRouting extends RoutingPolicy {
   private readonly minWaitGain: number;
   private readonly maxExplorations: number;
-  /** Upstreams about to be free that a waiting task counts on. */
-  private readonly reservations = new Map<string, Reservation>();
   private turn = 0;
 
   constructor(
@@ -65,7 +53,7 @@
     options: ExpectedEndRoutingOptions = {},
   ) {
     super();
-    this.minWaitGain = options.minWaitGain ?? 0.5;
+    this.minWaitGain = options.minWaitGain ?? 0.2;
     this.maxExplorations = options.maxExplorations ?? 1;
   }
 
@@ -76,28 +64,13 @@
   ): RoutingDecision {
     this.turn++;
     const explored = this.explore(task, candidates);
-    if (explored) return this.start(task, explored, 'exploration');
-    const found = this.sample(task, candidates, now, 'fastest');
-    const best = this.pick(task, found);
+    if (explored) return startOn(explored, 'exploration');
+    const best = this.pick(task, this.sample(task, candidates, 'fastest'));
     if (!best) return NO_UPSTREAM;
     const within = this.withinJob(task, candidates, best, now);
-    if (within) return this.start(task, within, 'within-job-end');
-    const wait = task.waited
-      ? undefined
-      : this.waitFor(task, candidates, best, now);
-    return wait ?? this.start(task, best, 'fastest-end');
-  }
-
-  private start(
-    task: RoutableTask,
-    {candidate, runMs}: Estimated,
-    reason: 'exploration' | 'fastest-end' | 'within-job-end',
-  ): RoutingDecision {
-    const upstream = candidate.upstream.key;
-    if (this.reservations.get(upstream)?.taskId === task.taskId) {
-      this.reservations.delete(upstream);
-    }
-    return {type: 'start', upstream, expectedRunMs: runMs, reason};
+    if (within) return startOn(within, 'within-job-end');
+    if (this.shouldWait(task, candidates, best)) return WAIT;
+    return startOn(best, 'fastest-end');
   }
 
   private estimates(task: RoutableTask): KindEstimates {
@@ -128,7 +101,6 @@
   private sample(
     task: RoutableTask,
     candidates: CandidateIndex,
-    now: number,
     order: 'fastest' | 'slowest',
   ): readonly Estimated[] {
     const estimates = this.estimates(task);
@@ -143,7 +115,7 @@
           const candidate = list[(this.turn + offset) % list.length];
           if (taken >= MAX_PER_BUCKET) break;
           if (examined++ >= MAX_EXAMINED && found.length > 0) return found;
-          if (!candidate || !this.usable(task, candidate, now)) continue;
+          if (!candidate || !isEligible(task, candidate)) continue;
           const runMs = estimates.p50Ms(candidate.upstream.key);
           found.push({candidate, runMs});
           taken++;
@@ -154,26 +126,6 @@
     return found;
   }
 
-  private usable(
-    task: RoutableTask,
-    candidate: Candidate,
-    now: number,
-  ): boolean {
-    if (!isEligible(task, candidate)) return false;
-    const reserved = this.reservations.get(candidate.upstream.key);
-    if (!reserved || reserved.taskId === task.taskId) return true;
-    return candidate.freeCredits > 1 || !this.isReserved(candidate, now);
-  }
-
-  /** Whether a waiting task counts on the upstream; forgets old waits. */
-  private isReserved({upstream}: Candidate, now: number): boolean {
-    const reserved = this.reservations.get(upstream.key);
-    if (!reserved) return false;
-    if (reserved.untilMs + RESERVATION_GRACE_MS >= now) return true;
-    this.reservations.delete(upstream.key);
-    return false;
-  }
-
   /** The earliest end; equal ends go to the rack with less of the job. */
   private pick(
     task: RoutableTask,
@@ -207,7 +159,7 @@
     const slackMs = (task.jobEndsAtMs ?? 0) - now;
     if (slackMs < 2 * best.runMs || !task.waitingTasks) return undefined;
     if (candidates.freeCredits > 2 * task.waitingTasks) return undefined;
-    const slow = this.sample(task, candidates, now, 'slowest');
+    const slow = this.sample(task, candidates, 'slowest');
     return slow.find(each => this.p95Ms(task, each.candidate) <= slackMs);
   }
 
@@ -220,42 +172,48 @@
     }).p95Ms;
   }
 
-  /** A wait for a faster upstream, when the task would still end sooner. */
-  private waitFor(
+  /**
+   * Whether the task ends sooner on a faster upstream that is full now. Slots
+   * of upstreams at least as fast as a given one free at the sum of their
+   * rates, so the wait is short where many tasks run, although no single slot
+   * can be predicted. In a queue before servers of different speed the slow
+   * ones are used above a threshold of the queue length (Larsen and Agrawala,
+   * 1983), so all queued tasks count.
+   */
+  private shouldWait(
     task: RoutableTask,
     candidates: CandidateIndex,
     best: Estimated,
-    now: number,
-  ): RoutingDecision | undefined {
-    const gainMs = Math.max(MIN_WAIT_GAIN_MS, this.minWaitGain * best.runMs);
-    let endMs = best.runMs - gainMs;
-    let chosen: Candidate | undefined;
-    const estimates = this.estimates(task);
-    const last = speedBucket(best.candidate.speedFactor);
-    for (const group of candidates.groupsOf(task.kind)) {
-      for (let bucket = 0; bucket < last; bucket++) {
-        const next = group.nextFree(bucket);
-        // A task past its expected end gives no hint when the slot frees.
-        if (!next || next.nextFreeAtMs <= now) continue;
-        if (this.isReserved(next, now)) continue;
-        if (task.excluded?.has(next.upstream.key)) continue;
-        const waitMs = next.nextFreeAtMs - now;
-        const totalMs = waitMs + estimates.p50Ms(next.upstream.key);
-        if (totalMs >= endMs) continue;
-        endMs = totalMs;
-        chosen = next;
-      }
+  ): boolean {
+    const meanMs = this.estimator.meanRunMs;
+    if (meanMs === undefined) return false;
+    const ownFactor = best.candidate.speedFactor;
+    const ownMs = meanMs * ownFactor;
+    const bound = ownMs - Math.max(MIN_WAIT_GAIN_MS, this.minWaitGain * ownMs);
+    const queued = Math.max(1, task.waitingTasks ?? 1);
+    const last = speedBucket(ownFactor);
+    let frees = 0;
+    let weighted = 0;
+    for (let bucket = 0; bucket < last; bucket++) {
+      const factor = bucketFactor(bucket);
+      const running = candidates.fullRunning(task.kind, bucket);
+      if (running === 0) continue;
+      const rate = running / (meanMs * factor);
+      frees += rate;
+      weighted += rate * factor;
+      const waitMs = queued / frees;
+      if (waitMs + (meanMs * weighted) / frees < bound) return true;
     }
-    return chosen && this.reserve(task, chosen);
+    return false;
   }
+}
 
-  private reserve(task: RoutableTask, candidate: Candidate): RoutingDecision {
-    const upstream = candidate.upstream.key;
-    const untilMs = candidate.nextFreeAtMs;
-    // Entries of upstreams that left are never looked up again.
-    if (this.reservations.size >= MAX_RESERVATIONS) this.reservations.clear();
-    this.reservations.set(upstream, {taskId: task.taskId, untilMs});
-    const reason = 'faster-upstream-soon';
-    return {type: 'wait', upstream, untilMs, reason};
-  }
+const WAIT: RoutingDecision = {type: 'wait', reason: 'faster-upstream-soon'};
+
+function startOn(
+  {candidate, runMs}: Estimated,
+  reason: 'exploration' | 'fastest-end' | 'within-job-end',
+): RoutingDecision {
+  const upstream = candidate.upstream.key;
+  return {type: 'start', upstream, expectedRunMs: runMs, reason};
 }
--- a/packages/decisions/src/routing/routing_policy.ts
+++ b/packages/decisions/src/routing/routing_policy.ts
@@ -19,10 +19,8 @@
   readonly jobRacks?: ReadonlyMap<string, number>;
   /** Upstreams that this task must not use, for example after a failure. */
   readonly excluded?: ReadonlySet<string>;
-  /** Tasks that wait behind this one. */
+  /** Queued tasks, this one included. */
   readonly waitingTasks?: number;
-  /** Whether it already waited for a faster upstream. */
-  readonly waited?: boolean;
 }
 
 /** Where a task goes. */
@@ -35,10 +33,8 @@
       readonly reason: ReasonCode;
     }
   | {
-      /** Hold the task and ask again at `untilMs`, or when a credit frees. */
+      /** Keep the task queued and ask again when a credit frees. */
       readonly type: 'wait';
-      readonly upstream: string;
-      readonly untilMs: number;
       readonly reason: ReasonCode;
     }
   | {readonly type: 'none'; readonly reason: ReasonCode};
--- a/packages/decisions/src/routing/run_time_estimator.ts
+++ b/packages/decisions/src/routing/run_time_estimator.ts
@@ -76,6 +76,7 @@
 const KIND_RATE = 0.02;
 const UPSTREAM_RATE = 0.03;
 const PAIR_RATE = 0.04;
+const MEAN_RATE = 0.005;
 /** Runs of a pair at which its own offset counts half. */
 const PAIR_TRUST = 8;
 /** Runs that a new upstream is assumed to have at average speed. */
@@ -94,6 +95,8 @@
   private readonly upstreams: LruMap<Offset>;
   private readonly maxPairs: number;
   private readonly ageHalfLifeMs: number;
+  private mean = 0;
+  private meanWeight = 0;
   private pairCount = 0;
 
   constructor(options: RunTimeEstimatorOptions = {}) {
@@ -129,6 +132,18 @@
     }
     const rest = x - kind.location - speed.value;
     learn(pair, bounded(rest) - pair.value, PAIR_RATE, weight);
+    this.observeMean(run.runMs / Math.exp(speed.value), weight);
+  }
+
+  /** Mean run time of all tasks on an average upstream, once one was seen. */
+  get meanRunMs(): number | undefined {
+    return this.meanWeight > 0 ? this.mean : undefined;
+  }
+
+  private observeMean(runMs: number, weight: number): void {
+    this.meanWeight += weight;
+    const gain = weight * Math.max(MEAN_RATE, 1 / this.meanWeight);
+    this.mean += Math.min(1, gain) * (runMs - this.mean);
   }
 
   /** Estimates a run; hierarchical from pair to kind to the declaration. */
--- a/packages/entry/src/dispatch/attempt_book.ts
+++ b/packages/entry/src/dispatch/attempt_book.ts
@@ -29,7 +29,7 @@
     const endsAtMs = startedAtMs + attempt.expectedRunMs;
     const {resources, jobId} = entry.queued;
     entry.running.set(attempt.attempt, attempt);
-    pool.candidates.started(upstream, chargeId, resources, endsAtMs);
+    pool.candidates.started(upstream, chargeId, resources);
     credits.use(upstream);
     sharing.charge({...entry.queued, taskId: chargeId}, startedAtMs);
     progress.started(jobId, this.rackOf(upstream), endsAtMs);
--- a/packages/entry/src/dispatch/attempt_follower.ts
+++ b/packages/entry/src/dispatch/attempt_follower.ts
@@ -170,7 +170,6 @@
     }
     if (delayMs > 0) await new Promise(resolve => setTimeout(resolve, delayMs));
     if (entry.place !== 'backing-off' || job.settled) return;
-    entry.waited = false;
     this.options.requeue(entry);
   }
 }
--- a/packages/entry/src/dispatch/dispatcher.ts
+++ b/packages/entry/src/dispatch/dispatcher.ts
@@ -31,6 +31,8 @@
 import {TaskTable} from './task_table.js';
 import type {UpstreamMonitor} from './upstream_monitor.js';
 
+type RoutedStart = Extract<RoutingDecision, {type: 'start'}>;
+
 /** Options of the dispatcher. */
 export interface DispatcherOptions {
   readonly sharing: SharingPolicy;
@@ -50,12 +52,11 @@
 
 /** Starts in one turn of the event loop, so that replies are read between. */
 const MAX_STARTS_PER_TURN = 256;
-const UNROUTABLE_RETRY_MS = 50;
+const KEPT_RETRY_MS = 20;
 
 /** The dispatch loop of an entry instance. */
 export class Dispatcher extends TaskScheduler {
   private readonly tasks = new TaskTable();
-  private readonly held = new Map<string, NodeJS.Timeout>();
   private readonly progress = new JobProgress();
   private readonly book: AttemptBook;
   private readonly follower: AttemptFollower;
@@ -136,7 +137,6 @@
   close(): void {
     this.closed = true;
     clearTimeout(this.retryTimer);
-    for (const timer of this.held.values()) clearTimeout(timer);
     for (const entry of this.tasks.all()) {
       for (const attempt of entry.running.values()) attempt.run?.checkNow();
     }
@@ -150,47 +150,42 @@
 
   private pump(): void {
     const {sharing, pool} = this.options;
-    const unroutable: TaskEntry[] = [];
-    const canRoute = (task: QueuedTask): boolean =>
-      pool.candidates.hasFree(task.kind);
     let starts = 0;
     for (; starts < MAX_STARTS_PER_TURN; starts++) {
       const now = Date.now();
-      const decision = sharing.next(now, canRoute);
-      if (decision === undefined) break;
-      const entry = this.tasks.get(decision.task.taskId);
-      if (entry === undefined || entry.place !== 'queued') continue;
-      if (!entry.task.owner.active) {
-        unroutable.push(entry);
-        continue;
-      }
-      const routed = this.route(entry, now);
-      if (routed.type === 'start') this.begin(entry, routed, now);
-      else if (routed.type === 'wait') this.hold(entry, routed.untilMs, now);
-      else unroutable.push(entry);
-    }
-    for (const entry of unroutable) {
-      this.options.sharing.enqueue(entry.queued, Date.now());
+      const chosen: {start?: RoutedStart | undefined} = {};
+      // Routing inside the filter leaves tasks that wait where they are.
+      const decision = sharing.next(now, task => {
+        chosen.start = this.routeNow(task, now);
+        return chosen.start !== undefined;
+      });
+      const entry = decision && this.tasks.get(decision.task.taskId);
+      if (entry === undefined || chosen.start === undefined) break;
+      this.begin(entry, chosen.start, now);
     }
     if (starts === MAX_STARTS_PER_TURN) this.wake();
-    else if (unroutable.length > 0) this.wakeLater();
+    else if (sharing.queuedTasks > 0 && pool.candidates.freeCredits > 0) {
+      this.wakeLater();
+    }
+  }
+
+  private routeNow(task: QueuedTask, now: number): RoutedStart | undefined {
+    if (!this.options.pool.candidates.hasFree(task.kind)) return undefined;
+    const entry = this.tasks.get(task.taskId);
+    if (entry === undefined || !entry.task.owner.active) return undefined;
+    const routed = this.route(entry, now);
+    return routed.type === 'start' ? routed : undefined;
   }
 
   private route(entry: TaskEntry, now: number): RoutingDecision {
-    const {queued, excluded, waited} = entry;
+    const {queued, excluded} = entry;
     const {routing, pool, sharing} = this.options;
     const jobEndsAtMs = this.progress.endsAtMs(queued.jobId);
     const jobRacks = this.progress.racks(queued.jobId);
     return routing.choose(
       {
-        taskId: queued.taskId,
-        team: queued.team,
-        kind: queued.kind,
-        urgency: queued.urgency,
-        resources: queued.resources,
-        expectedRunMs: queued.expectedRunMs,
+        ...queued,
         excluded,
-        waited,
         waitingTasks: sharing.queuedTasks,
         ...(jobEndsAtMs === undefined ? {} : {jobEndsAtMs}),
         ...(jobRacks === undefined ? {} : {jobRacks}),
@@ -200,31 +195,13 @@
     );
   }
 
-  /** Tries tasks again that no free upstream could take. */
+  /** Tries kept tasks again in case nothing else wakes the loop. */
   private wakeLater(): void {
     clearTimeout(this.retryTimer);
-    this.retryTimer = setTimeout(() => this.wake(), UNROUTABLE_RETRY_MS);
-  }
-
-  private hold(entry: TaskEntry, untilMs: number, now: number): void {
-    entry.place = 'held';
-    entry.waited = true;
-    const {taskId} = entry.queued;
-    const timer = setTimeout(
-      () => {
-        this.held.delete(taskId);
-        if (entry.place === 'held') this.enqueue(entry);
-      },
-      Math.max(1, untilMs - now),
-    );
-    this.held.set(taskId, timer);
+    this.retryTimer = setTimeout(() => this.wake(), KEPT_RETRY_MS);
   }
 
-  private begin(
-    entry: TaskEntry,
-    routed: Extract<RoutingDecision, {type: 'start'}>,
-    now: number,
-  ): void {
+  private begin(entry: TaskEntry, routed: RoutedStart, now: number): void {
     const {upstream, expectedRunMs, reason} = routed;
     entry.task.job.explain({
       atMs: now,
@@ -257,9 +234,7 @@
 
   private drop(entry: TaskEntry): void {
     entry.place = 'ended';
-    const {taskId, jobId} = entry.queued;
-    clearTimeout(this.held.get(taskId));
-    this.held.delete(taskId);
+    const {jobId} = entry.queued;
     if (this.tasks.remove(entry)) this.progress.forget(jobId);
   }
 }
--- a/packages/entry/src/dispatch/hedger.ts
+++ b/packages/entry/src/dispatch/hedger.ts
@@ -92,7 +92,6 @@
       {
         ...queued,
         excluded: new Set([...excluded, attempt.upstream]),
-        waited: true,
       },
       this.options.pool.candidates,
       now,
--- a/packages/entry/src/dispatch/task_entry.ts
+++ b/packages/entry/src/dispatch/task_entry.ts
@@ -27,7 +27,6 @@
   sent: number;
   /** Upstreams on which the task itself ended with an error. */
   readonly failedOn: Set<string>;
-  waited: boolean;
   /** Where the task is now. */
-  place: 'queued' | 'held' | 'running' | 'backing-off' | 'ended';
+  place: 'queued' | 'running' | 'backing-off' | 'ended';
 }
--- a/packages/entry/src/dispatch/task_table.ts
+++ b/packages/entry/src/dispatch/task_table.ts
@@ -51,7 +51,6 @@
       nextAttempt: task.nextAttempt,
       sent: 0,
       failedOn: new Set(),
-      waited: false,
       place: 'queued',
     };
     this.entries.set(entry.queued.taskId, entry);
--- a/packages/entry/src/groups/group_service.ts
+++ b/packages/entry/src/groups/group_service.ts
@@ -58,12 +58,12 @@
       .map(group => group.name);
   }
 
-  /** Whether every group that this instance votes in has a leader. */
-  get isReady(): boolean {
-    const mine = this.definitions.filter(definition =>
-      this.isMember(definition),
-    );
-    return mine.every(({name}) => this.groups.get(name)?.leader !== undefined);
+  /** Groups of this instance that have no leader as far as it knows. */
+  get leaderlessGroups(): readonly string[] {
+    return this.definitions
+      .filter(definition => this.isMember(definition))
+      .map(({name}) => name)
+      .filter(name => this.groups.get(name)?.leader === undefined);
   }
 
   get openJobs(): number {
--- a/packages/entry/src/http/health_routes.ts
+++ b/packages/entry/src/http/health_routes.ts
@@ -4,9 +4,15 @@
 import {sendProblem} from './http_server.js';
 import {problem} from './problems.js';
 
+/** Why an instance should get no requests. */
+export interface HealthRefusal {
+  readonly code: 'not-ready' | 'draining';
+  readonly detail: string;
+}
+
 /** Options of the routes. */
 export interface HealthRouteOptions {
-  readonly refusal: () => 'not-ready' | 'draining' | undefined;
+  readonly refusal: () => HealthRefusal | undefined;
 }
 
 /** Adds liveness and readiness. */
@@ -16,8 +22,8 @@
 ): void {
   app.get('/healthz', async (_req, res) => res.send({status: 'ok'}));
   app.get('/readyz', async (_req, res) => {
-    const code = refusal();
-    if (code === undefined) return res.send({status: 'ready'});
-    return sendProblem(res, problem(code, 'Send requests elsewhere.'));
+    const refused = refusal();
+    if (refused === undefined) return res.send({status: 'ready'});
+    return sendProblem(res, problem(refused.code, refused.detail));
   });
 }
--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -15,7 +15,7 @@
 import {LocalOwners} from './gateway/local_owners.js';
 import {PeerOwnerCaller} from './gateway/peer_owner_caller.js';
 import {AccessControl} from './http/access.js';
-import {addHealthRoutes} from './http/health_routes.js';
+import {addHealthRoutes, type HealthRefusal} from './http/health_routes.js';
 import {createHttpServer} from './http/http_server.js';
 import {addJobRoutes} from './http/job_routes.js';
 import {addOperatorRoutes} from './http/operator_routes.js';
@@ -194,10 +194,16 @@
     );
   }
 
-  private refusal(): 'not-ready' | 'draining' | undefined {
-    if (this.draining) return 'draining';
+  private refusal(): HealthRefusal | undefined {
+    if (this.draining) return {code: 'draining', detail: 'Shutting down.'};
     const {control, groups} = this.parts;
-    return control.hasState && groups.isReady ? undefined : 'not-ready';
+    if (!control.hasState) {
+      return {code: 'not-ready', detail: 'No configuration was received yet.'};
+    }
+    const waiting = groups.leaderlessGroups;
+    if (waiting.length === 0) return undefined;
+    const detail = `No leader is known of ${waiting.join(', ')}.`;
+    return {code: 'not-ready', detail};
   }
 }
 
--- a/packages/entry/src/jobs/job_tasks.ts
+++ b/packages/entry/src/jobs/job_tasks.ts
@@ -23,9 +23,22 @@
       .filter(start => !start.sealed)
       .map(start => start.taskIndex),
   );
-  job.record.tasks.forEach((_task, index) => {
+  for (const index of longestFirst(job)) {
     const task = {job, owner, index, nextAttempt};
     if (!job.kind.repeatable && begun.has(index)) scheduler.resume(task);
     else scheduler.schedule(task);
-  });
+  }
+}
+
+/**
+ * Task indexes by declared run time, longest first: a job ends with its last
+ * task, so long ones get the first slots (Graham, 1969).
+ */
+function longestFirst(job: RunningJob): readonly number[] {
+  const declaredMs = job.record.tasks.map(
+    task => task.expectedRunMs ?? job.kind.expectedRunMs,
+  );
+  return declaredMs
+    .map((_ms, index) => index)
+    .sort((a, b) => (declaredMs[b] ?? 0) - (declaredMs[a] ?? 0) || a - b);
 }
