Notice lost answers from lease renewals; balance slots of data centres

Cause: overdue answers were queried by a timer, and 5% of all starts were queries that found the task running; chance gave one data centre 36% of the submissions instead of 33%. Change: renewals of long tasks tell which ended, only those are queried, and a silent connection replaces its pool; slots are placed with bounded loads.

--- a/packages/decisions/src/homing/home.ts
+++ b/packages/decisions/src/homing/home.ts
@@ -1,11 +1,11 @@
 /**
  * Home of a submission: fixed slots, placed on data centres by rendezvous
- * hashing (Thaler and Ravishankar, 1998).
+ * hashing (Thaler and Ravishankar, 1998) with bounded loads.
  */
 import {createHash} from 'node:crypto';
 
 import type {Home, SubmissionKey} from '@mustardferry/model';
-import {MustardferryError} from '@mustardferry/model';
+import {must, MustardferryError} from '@mustardferry/model';
 
 /** Fixed number of slots; changing it moves every submission. */
 export const HOME_SLOTS = 1_024;
@@ -27,8 +27,8 @@
   readonly hash: string;
 }
 
-/** Winners by slot, kept for as long as the caller keeps its list. */
-const winnersByList = new WeakMap<readonly string[], string[]>();
+/** Placement of all slots, kept for as long as the caller keeps its list. */
+const placements = new WeakMap<readonly string[], readonly string[]>();
 
 function sha256(text: string): Buffer {
   return createHash('sha256').update(text).digest();
@@ -39,17 +39,42 @@
   return sha256(`${key.team.length}:${key.team}${key.idempotencyKey}`);
 }
 
-function rendezvous(slot: number, dataCentres: readonly string[]): string {
-  let best = '';
-  let bestScore = -1n;
-  for (const name of dataCentres) {
-    const score = sha256(`${slot}:${name}`).readBigUInt64BE();
-    if (score > bestScore || (score === bestScore && name < best)) {
-      best = name;
-      bestScore = score;
+interface Score {
+  readonly slot: number;
+  readonly name: string;
+  readonly value: bigint;
+}
+
+function scores(dataCentres: readonly string[]): readonly Score[] {
+  const all: Score[] = [];
+  for (const name of new Set(dataCentres)) {
+    for (let slot = 0; slot < HOME_SLOTS; slot++) {
+      const value = sha256(`${slot}:${name}`).readBigUInt64BE();
+      all.push({slot, name, value});
     }
   }
-  return best;
+  return all.sort((a, b) => {
+    if (a.value !== b.value) return a.value > b.value ? -1 : 1;
+    return a.slot - b.slot || (a.name < b.name ? -1 : 1);
+  });
+}
+
+/**
+ * Gives each slot to the data centre with the highest score that has room.
+ * Without the bound, chance would give one data centre 9% more work than its
+ * part, which is the difference between 80% and 87% load.
+ */
+function placeSlots(dataCentres: readonly string[]): readonly string[] {
+  const room = Math.ceil(HOME_SLOTS / new Set(dataCentres).size);
+  const placed = new Array<string>(HOME_SLOTS);
+  const counts = new Map<string, number>();
+  for (const {slot, name} of scores(dataCentres)) {
+    const count = counts.get(name) ?? 0;
+    if (placed[slot] !== undefined || count >= room) continue;
+    placed[slot] = name;
+    counts.set(name, count + 1);
+  }
+  return placed;
 }
 
 /** Slot of a submission, 0 to `HOME_SLOTS` - 1. */
@@ -62,12 +87,12 @@
   slot: number,
   dataCentres: readonly string[],
 ): string {
-  let winners = winnersByList.get(dataCentres);
-  if (!winners) {
-    winners = [];
-    winnersByList.set(dataCentres, winners);
+  let placement = placements.get(dataCentres);
+  if (!placement) {
+    placement = placeSlots(dataCentres);
+    placements.set(dataCentres, placement);
   }
-  return (winners[slot] ??= rendezvous(slot, dataCentres));
+  return must(placement[slot], `slot ${slot} is out of range`);
 }
 
 /** Data centre named by a key of the form `dc:NAME:...`, if it has that form. */
--- a/packages/entry/src/dispatch/attempt_launcher.ts
+++ b/packages/entry/src/dispatch/attempt_launcher.ts
@@ -1,5 +1,4 @@
 /** Sends attempts to upstreams and keeps their leases. */
-import type {RunTimeEstimator} from '@mustardferry/decisions';
 import type {
   OwnerEpoch,
   StartTaskRequest,
@@ -19,14 +18,10 @@
   readonly instance: string;
   readonly leaseMs: number;
   readonly pool: UpstreamPool;
-  readonly estimator: RunTimeEstimator;
   readonly renewer: LeaseRenewer;
   readonly metrics: Metrics;
 }
 
-/** An answer is overdue after this multiple of the estimate's p95. */
-const OVERDUE_FACTOR = 2;
-const OVERDUE_MIN_MS = 500;
 /** An unreachable upstream of a repeatable task is given up after this. */
 const REPEATABLE_RESOLVE_MS = 1_000;
 /** Others may not run again, so their upstream gets time to return. */
@@ -62,21 +57,25 @@
     upstream: UpstreamId,
     begin: (run: TaskAttempt) => Promise<AttemptOutcome>,
   ): Promise<AttemptOutcome> {
-    const {pool, renewer, leaseMs} = this.options;
+    const {pool, renewer, leaseMs, metrics} = this.options;
     const link = pool.linkTo(upstream);
     const req = this.request(entry, attempt.attempt, upstream, leaseMs);
     const run = new TaskAttempt({
       link,
       req,
-      overdueAfterMs: this.overdueAfterMs(entry, attempt.upstream),
       resolveTimeoutMs: entry.task.job.kind.repeatable
         ? REPEATABLE_RESOLVE_MS
         : UNREPEATABLE_RESOLVE_MS,
       onProbe: needed => this.countProbe(needed),
+      onSilentConnection: () => {
+        metrics.increment('upstreams.silent_connections');
+        link.replaceStartConnections();
+        renewer.renewNow(link);
+      },
     });
     attempt.run = run;
     const {taskId} = req;
-    const startedAtMs = attempt.startedAtMs;
+    const {startedAtMs} = attempt;
     renewer.add({taskId, attempt: attempt.attempt, startedAtMs, link, run});
     try {
       return await begin(run);
@@ -108,16 +107,6 @@
     };
   }
 
-  private overdueAfterMs(entry: TaskEntry, upstream: string): number {
-    const {p95Ms} = this.options.estimator.estimate({
-      team: entry.queued.team,
-      kind: entry.queued.kind,
-      upstream,
-      declaredMs: entry.queued.expectedRunMs,
-    });
-    return Math.max(OVERDUE_MIN_MS, OVERDUE_FACTOR * p95Ms);
-  }
-
   private countProbe(needed: boolean): void {
     const cause = needed ? 'probe' : 'unneeded-probe';
     this.options.metrics.increment('messages.wasted', needed ? 0 : 1, {cause});
--- a/packages/entry/src/dispatch/lease_renewer.ts
+++ b/packages/entry/src/dispatch/lease_renewer.ts
@@ -13,43 +13,61 @@
   readonly run: TaskAttempt;
 }
 
-/** Part of the lease after which a renewal is sent. */
+interface Leased extends LeasedAttempt {
+  renewAtMs: number;
+}
+
+/** Renewals in one lease, so that one may be lost. */
 const RENEWALS_PER_LEASE = 3;
+const TICK_MS = 100;
 
-/** Sends one renewal per upstream and round, for all tasks that need one. */
+/**
+ * Sends one renewal per upstream and round. The reply lists tasks that no
+ * longer run, which is how an answer lost on a silent connection is noticed.
+ */
 export class LeaseRenewer {
   readonly name = 'lease-renewer';
-  private readonly attempts = new Map<string, LeasedAttempt>();
+  private readonly attempts = new Map<string, Leased>();
   private readonly timer: NodeJS.Timeout;
+  private readonly periodMs: number;
 
   constructor(
     private readonly leaseMs: number,
     private readonly logger: Logger,
   ) {
-    this.timer = setInterval(
-      () => this.renewAll(Date.now()),
-      leaseMs / RENEWALS_PER_LEASE,
-    );
+    this.periodMs = leaseMs / RENEWALS_PER_LEASE;
+    this.timer = setInterval(() => this.renewDue(Date.now()), TICK_MS);
   }
 
+  /** Keeps a lease; the first renewal is due a third of the lease from now. */
   add(attempt: LeasedAttempt): void {
-    this.attempts.set(`${attempt.taskId}#${attempt.attempt}`, attempt);
+    this.attempts.set(`${attempt.taskId}#${attempt.attempt}`, {
+      ...attempt,
+      renewAtMs: attempt.startedAtMs + this.periodMs,
+    });
   }
 
   remove(taskId: string, attempt: number): void {
     this.attempts.delete(`${taskId}#${attempt}`);
   }
 
+  /** Renews all leases on a link now, to learn which tasks have ended. */
+  renewNow(link: UpstreamLink): void {
+    for (const attempt of this.attempts.values()) {
+      if (attempt.link === link) attempt.renewAtMs = 0;
+    }
+    this.renewDue(Date.now());
+  }
+
   close(): void {
     clearInterval(this.timer);
   }
 
-  private renewAll(now: number): void {
-    const byLink = new Map<UpstreamLink, LeasedAttempt[]>();
+  private renewDue(now: number): void {
+    const byLink = new Map<UpstreamLink, Leased[]>();
     for (const attempt of this.attempts.values()) {
-      // Short tasks end before their first renewal is due.
-      if (now - attempt.startedAtMs < this.leaseMs / RENEWALS_PER_LEASE)
-        continue;
+      if (attempt.renewAtMs > now) continue;
+      attempt.renewAtMs = now + this.periodMs;
       const list = byLink.get(attempt.link);
       if (list) list.push(attempt);
       else byLink.set(attempt.link, [attempt]);
@@ -59,14 +77,16 @@
 
   private async renew(
     link: UpstreamLink,
-    attempts: readonly LeasedAttempt[],
+    attempts: readonly Leased[],
   ): Promise<void> {
+    const req = {
+      leaseMs: this.leaseMs,
+      tasks: attempts.map(({taskId, attempt}) => ({taskId, attempt})),
+    };
     try {
-      const {notRunning} = await link.renew({
-        leaseMs: this.leaseMs,
-        tasks: attempts.map(({taskId, attempt}) => ({taskId, attempt})),
-      });
-      const ended = new Set(notRunning);
+      // A failed exchange replaces the connection, so one more may succeed.
+      const reply = await link.renew(req).catch(() => link.renew(req));
+      const ended = new Set(reply.notRunning);
       for (const attempt of attempts) {
         if (ended.has(attempt.taskId)) attempt.run.checkNow();
       }
--- a/packages/entry/src/dispatch/task_attempt.ts
+++ b/packages/entry/src/dispatch/task_attempt.ts
@@ -13,24 +13,27 @@
 export interface TaskAttemptOptions {
   readonly link: UpstreamLink;
   readonly req: StartTaskRequest;
-  /** Time after which an answer is overdue and the task is queried by id. */
-  readonly overdueAfterMs: number;
   /** How long an unreachable upstream is queried before giving up. */
   readonly resolveTimeoutMs: number;
   /** Called for each query, stop and discarded reply; for the metrics. */
   readonly onProbe: (needed: boolean) => void;
+  /** Told when the outcome came by query although the start got no reply. */
+  readonly onSilentConnection: () => void;
 }
 
+/** Time for a reply that is on its way when the upstream reports the end. */
+const REPLY_GRACE_MS = 50;
 const QUERY_BACKOFF_MIN_MS = 50;
-const QUERY_BACKOFF_MAX_MS = 1_000;
+const QUERY_BACKOFF_MAX_MS = 250;
 
 /** Outcome of one exchange about the task; undefined while it runs. */
 type Known = AttemptOutcome | undefined;
 
 /**
  * One attempt. The reply to the start request is the normal way to learn the
- * outcome. When it is overdue or its connection breaks, the attempt is queried
- * by id on another connection, so that a silent connection costs one query.
+ * outcome. Renewals of the lease tell when the task no longer runs; if no reply
+ * came then, or the connection broke, the attempt is queried by id on another
+ * connection. So a silent connection is noticed without extra messages.
  */
 export class TaskAttempt {
   private readonly abort = new AbortController();
@@ -38,14 +41,15 @@
   private stopRequested = false;
   private readonly wakers = new Set<() => void>();
   private resolving: Promise<AttemptOutcome> | undefined;
+  private awaitsReply = false;
 
   constructor(private readonly options: TaskAttemptOptions) {}
 
   /** Starts the task and resolves with its outcome; never rejects. */
   async run(): Promise<AttemptOutcome> {
     const started = this.start();
-    const overdue = this.afterOverdue();
-    const outcome = await Promise.race([started, overdue]);
+    const suspected = this.untilWoken().then(() => this.afterSuspicion());
+    const outcome = await Promise.race([started, suspected]);
     this.settle();
     return outcome;
   }
@@ -61,11 +65,10 @@
   stop(): void {
     if (this.settled || this.stopRequested) return;
     this.stopRequested = true;
-    this.wakeAll();
     void this.options.link.stop(this.options.req).catch(() => undefined);
   }
 
-  /** Makes the next query happen now. */
+  /** Makes a query happen now: the task may have ended without a reply. */
   checkNow(): void {
     this.wakeAll();
   }
@@ -78,10 +81,13 @@
 
   private async start(): Promise<AttemptOutcome> {
     const {link, req} = this.options;
+    this.awaitsReply = true;
     try {
       const reply = await link.start(req, this.abort.signal);
+      this.awaitsReply = false;
       return this.interpret(reply) ?? (await this.resolve());
     } catch (err) {
+      this.awaitsReply = false;
       if (this.settled) return {type: 'stopped'};
       if (err instanceof UpstreamNotReachedError) {
         return {type: 'not-started', reason: 'upstream-not-reached'};
@@ -91,10 +97,14 @@
     }
   }
 
-  private async afterOverdue(): Promise<AttemptOutcome> {
-    await this.pause(this.options.overdueAfterMs);
+  private async afterSuspicion(): Promise<AttemptOutcome> {
+    await this.pause(REPLY_GRACE_MS);
     if (this.settled) return {type: 'stopped'};
-    return this.resolve();
+    const outcome = await this.resolve();
+    if (!this.settled && this.awaitsReply && outcome.type !== 'stopped') {
+      this.options.onSilentConnection();
+    }
+    return outcome;
   }
 
   /** Queries the upstream until the outcome is known. */
@@ -104,25 +114,24 @@
   }
 
   private async queryUntilKnown(): Promise<AttemptOutcome> {
-    const {overdueAfterMs, resolveTimeoutMs} = this.options;
     let silentSince: number | undefined;
-    let runningPauseMs = overdueAfterMs;
     let backoffMs = QUERY_BACKOFF_MIN_MS;
     while (!this.settled) {
       try {
         const known = await this.queryOnce();
         if (known !== undefined) return known;
         silentSince = undefined;
-        await this.pause(runningPauseMs);
-        runningPauseMs *= 2;
+        // The reply or the next renewal tells when to ask again.
+        if (this.awaitsReply) await this.untilWoken();
       } catch {
         silentSince ??= Date.now();
-        if (Date.now() - silentSince >= resolveTimeoutMs) {
+        const silentMs = Date.now() - silentSince;
+        if (silentMs >= this.options.resolveTimeoutMs) {
           return {type: 'unresolved', reason: 'upstream-unreachable'};
         }
-        await this.pause(backoffMs);
-        backoffMs = Math.min(backoffMs * 2, QUERY_BACKOFF_MAX_MS);
       }
+      await this.pause(backoffMs);
+      backoffMs = Math.min(backoffMs * 2, QUERY_BACKOFF_MAX_MS);
     }
     return {type: 'stopped'};
   }
@@ -192,6 +201,17 @@
     });
   }
 
+  /** Resolves with the next check, or when the outcome is known. */
+  private untilWoken(): Promise<void> {
+    return new Promise(resolve => {
+      const wake = (): void => {
+        this.wakers.delete(wake);
+        resolve();
+      };
+      this.wakers.add(wake);
+    });
+  }
+
   private wakeAll(): void {
     for (const wake of [...this.wakers]) wake();
   }
--- a/packages/entry/src/upstreams/upstream_pool.ts
+++ b/packages/entry/src/upstreams/upstream_pool.ts
@@ -16,7 +16,7 @@
 }
 
 const CONNECT_TIMEOUT_MS = 500;
-const CONTROL_TIMEOUT_MS = 1_000;
+const CONTROL_TIMEOUT_MS = 500;
 /** Connection for queries, stops and renewals beside those for starts. */
 const CONTROL_CONNECTIONS = 1;
 
--- a/packages/links/src/upstream_link.ts
+++ b/packages/links/src/upstream_link.ts
@@ -57,6 +57,9 @@
   'UND_ERR_CONNECT_TIMEOUT',
 ]);
 
+/** Time for replies on connections that were replaced. */
+const OLD_CONNECTIONS_MS = 30_000;
+
 function codeOf(err: unknown): string {
   if (err instanceof undiciErrors.UndiciError) return err.code;
   const code = (err as {code?: unknown} | undefined)?.code;
@@ -70,7 +73,7 @@
  */
 export class UpstreamLink {
   readonly name: string;
-  private readonly starts: Pool;
+  private starts: Pool;
   private control: Pool;
 
   constructor(private readonly options: UpstreamLinkOptions) {
@@ -104,10 +107,23 @@
 
   /** Renews the leases of running tasks. */
   async renew(req: RenewLeasesRequest): Promise<RenewLeasesReply> {
-    const body = await this.send(this.control, 'POST', '/v1/leases/renew', req);
+    const body = await this.onControl(pool =>
+      this.send(pool, 'POST', '/v1/leases/renew', req),
+    );
     return body as RenewLeasesReply;
   }
 
+  /**
+   * Opens fresh connections for later starts, after one was found silent. The
+   * others that were open at the same time have probably gone silent as well;
+   * what runs on them is left to its own reply or to a query.
+   */
+  replaceStartConnections(): void {
+    const old = this.starts;
+    this.starts = this.createPool(this.options.maxConnections, 0);
+    setTimeout(() => void old.destroy(), OLD_CONNECTIONS_MS).unref();
+  }
+
   async close(): Promise<void> {
     await Promise.all([this.starts.destroy(), this.control.destroy()]);
   }
@@ -125,15 +141,22 @@
     });
   }
 
-  private async exchangeControl(
+  private exchangeControl(
     method: 'GET' | 'POST',
     path: string,
     body: unknown,
     task: TaskAttempt,
   ): Promise<TaskReply> {
+    return this.onControl(pool =>
+      this.exchange(pool, method, path, body, task),
+    );
+  }
+
+  /** Runs an exchange on the control connection; replaces a broken one. */
+  private async onControl<T>(run: (pool: Pool) => Promise<T>): Promise<T> {
     const pool = this.control;
     try {
-      return await this.exchange(pool, method, path, body, task);
+      return await run(pool);
     } catch (err) {
       if (err instanceof UpstreamExchangeError && pool === this.control) {
         this.control = this.createPool(1, this.options.controlTimeoutMs);
