Re-arm deadlines beyond the longest timer

Cause: a deadline over 24.8 days was cut to the longest delay of a timer and failed its job early; arming twice left the first timer running. Change: the timer is armed again for the rest, and replaces an earlier one. Result: 4 tests of job_deadlines pass, 1 failed before the change (npx mocha 'packages/entry/tests/jobs/job_deadlines.test.ts').

--- a/packages/entry/src/jobs/job_deadlines.ts
+++ b/packages/entry/src/jobs/job_deadlines.ts
@@ -13,10 +13,11 @@
   arm(job: RunningJob): void {
     if (!Number.isFinite(job.deadlineAtMs)) return;
     const leftMs = Math.max(0, job.deadlineAtMs - Date.now());
-    const timer = setTimeout(
-      () => this.onDeadline(job),
-      Math.min(leftMs, MAX_TIMER_MS),
-    );
+    const timer =
+      leftMs > MAX_TIMER_MS
+        ? setTimeout(() => this.arm(job), MAX_TIMER_MS)
+        : setTimeout(() => this.onDeadline(job), leftMs);
+    clearTimeout(this.timers.get(job.jobId));
     this.timers.set(job.jobId, timer);
   }
 
--- /dev/null
+++ b/packages/entry/tests/jobs/job_deadlines.test.ts
@@ -0,0 +1,51 @@
+import {type Clock, install} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+
+import {JobDeadlines} from '../../src/jobs/job_deadlines.js';
+import {runningJob} from '../fixtures.js';
+
+const DAY_MS = 86_400_000;
+
+describe('JobDeadlines', () => {
+  let clock: Clock;
+  let ended: string[];
+  let deadlines: JobDeadlines;
+  beforeEach(() => {
+    clock = install({now: 0});
+    ended = [];
+    deadlines = new JobDeadlines(job => ended.push(job.jobId));
+  });
+  afterEach(() => clock.uninstall());
+
+  const cases = [
+    {name: 'a day', deadlineMs: DAY_MS},
+    {name: 'more than the longest timer', deadlineMs: 40 * DAY_MS},
+  ];
+  for (const {name, deadlineMs} of cases) {
+    it(`ends no job early or never at a deadline of ${name}`, async () => {
+      deadlines.arm(runningJob({deadlineMs}));
+      await clock.tickAsync(deadlineMs - 1);
+      expect(ended).to.have.length(0);
+      await clock.tickAsync(1);
+      expect(ended).to.have.length(1);
+      expect(clock.countTimers()).to.equal(0);
+    });
+  }
+
+  it('does not spare a job that was taken over after its deadline', async () => {
+    await clock.tickAsync(100);
+    deadlines.arm(runningJob({deadlineMs: 50}));
+    await clock.tickAsync(0);
+    expect(ended).to.have.length(1);
+  });
+
+  it('keeps no timer of an answered job, of a lost term or without deadline', () => {
+    const job = runningJob({deadlineMs: 50});
+    deadlines.arm(job);
+    deadlines.clear(job.jobId);
+    deadlines.arm(runningJob());
+    deadlines.arm(job);
+    deadlines.clearAll();
+    expect(clock.countTimers()).to.equal(0);
+  });
+});
