Refuse bodies nested deeper than 256 levels

Cause: a deep payload within the size limit overflowed the stack of the body digest and was answered as an internal error with an unknown outcome. Change: the digest stops at 256 levels; the gateway answers invalid-body.

--- a/packages/entry/src/gateway/job_gateway.ts
+++ b/packages/entry/src/gateway/job_gateway.ts
@@ -24,7 +24,7 @@
 import type {Logger} from '@mustardferry/runtime';
 
 import {fail, problem} from '../http/problems.js';
-import {bodyDigest} from '../jobs/body_digest.js';
+import {BodyDepthError, bodyDigest} from '../jobs/body_digest.js';
 import type {OwnerDirectory} from './owner_directory.js';
 
 /** Calls one instance, this one included. */
@@ -75,7 +75,7 @@
       mintIdempotencyKey(this.options.settings.dataCentre, randomBytes(16));
     const submission: Submission = {...body, idempotencyKey};
     const home = this.homeOf(submission);
-    const digest = bodyDigest(submission);
+    const digest = this.digestOf(submission);
     const {jobId} = home;
     return this.untilOwned(home, waitMs, (instance, leftMs) =>
       this.options.caller.submit(instance, {
@@ -119,6 +119,15 @@
     }
   }
 
+  private digestOf(submission: Submission): string {
+    try {
+      return bodyDigest(submission);
+    } catch (err) {
+      if (!(err instanceof BodyDepthError)) throw err;
+      return fail('invalid-body', `tasks: ${err.message}.`);
+    }
+  }
+
   private parse(jobId: string): Home {
     const parsed = parseJobId(jobId);
     const known =
--- a/packages/entry/src/jobs/body_digest.ts
+++ b/packages/entry/src/jobs/body_digest.ts
@@ -1,26 +1,49 @@
 /** Digest that tells whether two submissions under one key are the same. */
 import {createHash} from 'node:crypto';
 
-import type {Submission} from '@mustardferry/model';
+import {MustardferryError, type Submission} from '@mustardferry/model';
 
-/** JSON with sorted keys, so that the order of members does not matter. */
-export function canonicalJson(value: unknown): string {
+/**
+ * Deepest nesting of a body. Every later JSON and MessagePack step recurses,
+ * and a body within the size limit could overflow its stack.
+ */
+const MAX_DEPTH = 256;
+
+/** The body is nested too deeply to be passed on. */
+export class BodyDepthError extends MustardferryError {
+  readonly code = 'body-too-deep';
+}
+
+/**
+ * JSON with sorted keys, so that the order of members does not matter.
+ *
+ * @throws BodyDepthError when the value is nested deeper than 256 levels.
+ */
+export function canonicalJson(value: unknown, depth = 0): string {
+  if (depth > MAX_DEPTH) {
+    throw new BodyDepthError(`nested deeper than ${MAX_DEPTH} levels`);
+  }
   if (Array.isArray(value)) {
-    return `[${value.map(item => canonicalJson(item)).join(',')}]`;
+    return `[${value.map(item => canonicalJson(item, depth + 1)).join(',')}]`;
   }
   if (value !== null && typeof value === 'object') {
     const members = Object.entries(value)
       .filter(([, member]) => member !== undefined)
       .sort(([a], [b]) => (a < b ? -1 : a > b ? 1 : 0))
       .map(
-        ([key, member]) => `${JSON.stringify(key)}:${canonicalJson(member)}`,
+        ([key, member]) =>
+          `${JSON.stringify(key)}:${canonicalJson(member, depth + 1)}`,
       );
     return `{${members.join(',')}}`;
   }
   return JSON.stringify(value ?? null);
 }
 
-/** SHA-256, hex, over everything that defines the job except its key. */
+/**
+ * SHA-256, hex, over everything that defines the job except its key.
+ *
+ * @throws BodyDepthError when a payload is nested too deeply.
+ */
 export function bodyDigest(submission: Submission): string {
   const {team, kind, tasks, deadlineMs} = submission;
   return createHash('sha256')
--- /dev/null
+++ b/packages/entry/tests/jobs/body_digest.test.ts
@@ -0,0 +1,58 @@
+import type {Submission} from '@mustardferry/model';
+import {expect} from 'chai';
+
+import {bodyDigest, canonicalJson} from '../../src/jobs/body_digest.js';
+
+function submission(payload: unknown, change: Partial<Submission> = {}) {
+  const tasks = [{id: 't', payload}];
+  return {team: 'a', kind: 'b', idempotencyKey: 'k', tasks, ...change};
+}
+
+describe('bodyDigest', () => {
+  const equal = [
+    [
+      'members in another order',
+      {a: 1, b: {c: 2, d: 3}},
+      {b: {d: 3, c: 2}, a: 1},
+    ],
+    ['an absent member sent as undefined', {a: 1}, {a: 1, b: undefined}],
+  ] as const;
+  for (const [name, a, b] of equal) {
+    it(`does not report a conflict for ${name}`, () => {
+      expect(bodyDigest(submission(a))).to.equal(bodyDigest(submission(b)));
+    });
+  }
+
+  const different = [
+    ['items in another order', [1, 2], [2, 1]],
+    ['a number and its text', 1, '1'],
+    ['null and an absent member', {a: null}, {}],
+    ['an array and an object', ['x'], {0: 'x'}],
+    ['a member named __proto__', JSON.parse('{"__proto__":1}') as unknown, {}],
+  ] as const;
+  for (const [name, a, b] of different) {
+    it(`does not join different bodies: ${name}`, () => {
+      expect(bodyDigest(submission(a))).not.to.equal(bodyDigest(submission(b)));
+    });
+  }
+
+  it('does not join bodies that differ outside the payload', () => {
+    const bodies = [
+      submission(1),
+      submission(1, {team: 'x'}),
+      submission(1, {kind: 'x'}),
+      submission(1, {deadlineMs: 5}),
+    ];
+    expect(new Set(bodies.map(body => bodyDigest(body)))).to.have.property(
+      'size',
+      4,
+    );
+    const otherKey = submission(1, {idempotencyKey: 'other'});
+    expect(bodyDigest(otherKey)).to.equal(bodyDigest(submission(1)));
+  });
+
+  it('refuses a payload that would overflow the stack, instead of failing', () => {
+    const deep = JSON.parse('['.repeat(50_000) + ']'.repeat(50_000)) as unknown;
+    expect(() => canonicalJson(deep)).to.throw('nested deeper than');
+  });
+});
