--- /dev/null
+++ b/packages/entry/tests/jobs/job_explanations.test.ts
@@ -0,0 +1,31 @@
+import {expect} from 'chai';
+
+import {problem} from '../../src/http/problems.js';
+import {JobExplanations} from '../../src/jobs/job_explanations.js';
+
+describe('JobExplanations', () => {
+  it('does not grow without bound: the oldest job is dropped first', () => {
+    const explanations = new JobExplanations(2);
+    for (const id of ['a', 'b', 'a', 'c']) explanations.put(id, []);
+    expect(explanations.get('b')).to.equal(undefined);
+    expect(explanations.get('a')).to.deep.equal([]);
+    expect(explanations.get('c')).to.deep.equal([]);
+  });
+
+  it('does not lose why a job without a record was refused', () => {
+    const explanations = new JobExplanations();
+    explanations.noteRefusal('a', undefined);
+    expect(explanations.get('a')).to.equal(undefined);
+    explanations.noteRefusal('a', {
+      problem: problem('queue-full', 'full'),
+      reason: 'queue-full',
+      answer: 'coop.posting.queue',
+    });
+    expect(explanations.get('a')?.[0]).to.include({
+      step: 'refused',
+      reason: 'queue-full',
+      detail: 'full',
+      answer: 'coop.posting.queue',
+    });
+  });
+});
--- /dev/null
+++ b/packages/entry/tests/jobs/job_settlement.test.ts
@@ -0,0 +1,87 @@
+import type {RecordsCommand, RecordsResult} from '@mustardferry/coordination';
+import {RecordsState} from '@mustardferry/coordination';
+import type {JobAnswer} from '@mustardferry/model';
+import {expect} from 'chai';
+
+import {recordAnswer} from '../../src/jobs/job_settlement.js';
+import {admitCommand, JOB_ID, LOGGER, startItem} from '../fixtures.js';
+
+const NOT_RUN: JobAnswer = {
+  outcome: 'not-run',
+  jobId: JOB_ID,
+  code: 'cancelled',
+  detail: '',
+};
+const FAILED: JobAnswer = {...NOT_RUN, outcome: 'failed'};
+
+describe('recordAnswer', () => {
+  const cases: readonly {
+    readonly name: string;
+    readonly before: readonly RecordsCommand[];
+    readonly answer: JobAnswer;
+    readonly stored: JobAnswer | undefined;
+  }[] = [
+    {
+      name: 'tells the stored answer and not its own after a repetition',
+      before: [
+        admitCommand(),
+        {type: 'finish', jobId: JOB_ID, answer: FAILED, atMs: 1},
+      ],
+      answer: NOT_RUN,
+      stored: FAILED,
+    },
+    {
+      name: 'does not claim not-run once a start is on record',
+      before: [admitCommand(), {type: 'start', starts: [startItem()]}],
+      answer: NOT_RUN,
+      stored: FAILED,
+    },
+    {
+      name: 'does not lose a true not-run',
+      before: [admitCommand()],
+      answer: NOT_RUN,
+      stored: NOT_RUN,
+    },
+    {
+      name: 'publishes nothing for a job without a record',
+      before: [],
+      answer: NOT_RUN,
+      stored: undefined,
+    },
+    {
+      name: 'publishes no incomplete results',
+      before: [admitCommand()],
+      answer: {
+        outcome: 'complete',
+        jobId: JOB_ID,
+        results: [{id: 't1', value: 1}],
+      },
+      stored: undefined,
+    },
+  ];
+  for (const {name, before, answer, stored} of cases) {
+    it(name, async () => {
+      const state = new RecordsState();
+      for (const command of before) state.apply(command);
+      const propose = async (command: RecordsCommand) => state.apply(command);
+      const result = await recordAnswer(propose, JOB_ID, answer, LOGGER);
+      expect(result).to.deep.equal(stored);
+      if (before.length > 0) {
+        expect(state.get(JOB_ID)?.answer).to.deep.equal(stored);
+      }
+    });
+  }
+
+  it('publishes nothing when the proposal was lost or answered crossed', async () => {
+    const lost = (): Promise<RecordsResult> =>
+      Promise.reject(new Error('lost'));
+    const crossed = async (): Promise<RecordsResult> => ({
+      type: 'expire',
+      dropped: 0,
+    });
+    for (const propose of [lost, crossed]) {
+      const result = await recordAnswer(propose, JOB_ID, FAILED, LOGGER);
+      expect(result).to.equal(undefined);
+    }
+  });
+});
