Bound the search for an owner and the wait of each call

Cause: a round over silent instances took longer than the search limit, which reset the limit, so the search never ended; each call of a round got the whole wait again; and an unreachable instance erased the hint of another one. Change: each call gets the wait that is left, time beyond the client's wait counts as search, and only the entry of the instance itself is erased.

--- a/packages/entry/src/gateway/job_gateway.ts
+++ b/packages/entry/src/gateway/job_gateway.ts
@@ -56,6 +56,12 @@
 /** How long an owner is searched for before the outcome is `unknown`. */
 const SEARCH_MS = 5_000;
 
+/** Limits of one search for an owner, in epoch milliseconds. */
+interface Search {
+  readonly waitUntilMs: number;
+  giveUpAtMs: number;
+}
+
 type AnyReply = OwnerReply | ExplainReply;
 
 /** Finds owners, retries while ownership moves, checks reply ids. */
@@ -147,17 +153,16 @@
     waitMs: number,
     ask: (instance: string, leftMs: number) => Promise<R>,
   ): Promise<R> {
-    const startedAt = Date.now();
-    let lastContactAt = startedAt;
+    const startedAtMs = Date.now();
+    const search: Search = {
+      waitUntilMs: startedAtMs + waitMs,
+      giveUpAtMs: startedAtMs + SEARCH_MS,
+    };
     let pauseMs = RETRY_MIN_MS;
     for (;;) {
-      const leftMs = Math.max(0, waitMs - (Date.now() - startedAt));
-      const attemptAt = Date.now();
-      const reply = await this.askAll(home, leftMs, ask);
+      const reply = await this.askAll(home, search, ask);
       if (reply !== undefined) return reply;
-      // A wait that ended with its owner was progress; search anew.
-      if (Date.now() - attemptAt > SEARCH_MS) lastContactAt = Date.now();
-      if (Date.now() - lastContactAt >= SEARCH_MS) return this.gaveUp<R>(home);
+      if (Date.now() >= search.giveUpAtMs) return this.gaveUp<R>(home);
       await new Promise(resolve => setTimeout(resolve, pauseMs));
       pauseMs = Math.min(pauseMs * 2, RETRY_MAX_MS);
     }
@@ -165,27 +170,49 @@
 
   private async askAll<R extends AnyReply>(
     home: Home,
-    leftMs: number,
+    search: Search,
     ask: (instance: string, leftMs: number) => Promise<R>,
   ): Promise<R | undefined> {
-    const {directory, logger} = this.options;
     const group = `${home.dataCentre}.${home.group}`;
+    const {directory} = this.options;
     for (const instance of directory.candidates(home.dataCentre, group)) {
-      try {
-        const reply = await ask(instance, leftMs);
-        // A reply for another job must never reach this caller.
-        if (reply.jobId !== home.jobId) {
-          logger.error('reply-for-another-job', {
-            instance,
-            jobId: home.jobId,
-            got: reply.jobId,
-          });
-          continue;
-        }
-        if (reply.type !== 'not-owner') return reply;
-        directory.correct(group, reply.owner);
-      } catch (err) {
-        logger.debug('owner-not-reached', {instance, jobId: home.jobId, err});
+      const askedAtMs = Date.now();
+      const leftMs = Math.max(0, search.waitUntilMs - askedAtMs);
+      const reply = await this.askOne(home, instance, () =>
+        ask(instance, leftMs),
+      );
+      if (reply !== undefined) return reply;
+      // A wait that ended with its owner is the client's wait, not search.
+      if (leftMs > 0) search.giveUpAtMs += Date.now() - askedAtMs;
+      // Silent instances take a time limit each; a round of many is long.
+      if (Date.now() >= search.giveUpAtMs) return undefined;
+    }
+    return undefined;
+  }
+
+  /** Undefined when the instance does not own the job or did not reply. */
+  private async askOne<R extends AnyReply>(
+    home: Home,
+    instance: string,
+    ask: () => Promise<R>,
+  ): Promise<R | undefined> {
+    const {directory, logger} = this.options;
+    const group = `${home.dataCentre}.${home.group}`;
+    const {jobId} = home;
+    try {
+      const reply = await ask();
+      // A reply for another job must never reach this caller.
+      if (reply.jobId !== jobId) {
+        const got = reply.jobId;
+        logger.error('reply-for-another-job', {instance, jobId, got});
+        return undefined;
+      }
+      if (reply.type !== 'not-owner') return reply;
+      directory.correct(group, reply.owner);
+    } catch (err) {
+      logger.debug('owner-not-reached', {instance, jobId, err});
+      // Another instance may have named the owner since.
+      if (directory.ownerOf(group) === instance) {
         directory.correct(group, undefined);
       }
     }
