Accept the Bearer scheme in any case

Cause: RFC 9110 makes the name of an authentication scheme case-insensitive, but only 'Bearer' was taken. Change: the header is matched without case.

--- a/packages/entry/src/http/access.ts
+++ b/packages/entry/src/http/access.ts
@@ -33,7 +33,7 @@
   allows(audience: Audience, headers: IncomingHttpHeaders): boolean {
     const accepted = this.digests.get(audience) ?? [];
     if (accepted.length === 0) return true;
-    const match = /^Bearer (\S+)$/.exec(headers.authorization ?? '');
+    const match = /^Bearer +(\S+)$/i.exec(headers.authorization ?? '');
     const offered = digest(match?.[1] ?? '');
     // Compares with every token, so that the time does not show which matched.
     return accepted.reduce(
