Bound the list of body faults and check addresses and payloads

Cause: a body of many small faults was answered with one entry for each, 10,000 in the test; addresses such as 999.0.0.1:80 were announced; a task without a payload was admitted, although the API requires one. Change: at most 100 faults are listed; addresses are parsed; a payload is required and may be null. Result: all tests of schemas pass, 6 failed before the change (npx mocha 'packages/entry/tests/http/schemas.test.ts').

--- a/packages/entry/src/http/schemas.ts
+++ b/packages/entry/src/http/schemas.ts
@@ -1,4 +1,6 @@
 /** Schemas of request bodies. */
+import {isIP} from 'node:net';
+
 import type {
   LeaveRequest,
   SubmitJobRequest,
@@ -7,9 +9,13 @@
 } from '@mustardferry/model';
 import {z} from 'zod';
 
+import {splitAddress} from '../ip_address.js';
 import {fail} from './problems.js';
 
 const MAX_NAME_LENGTH = 128;
+/** Listed faults of a body; one of many small members can have 100,000s. */
+const MAX_LISTED_ERRORS = 100;
+const MAX_PORT = 65_535;
 const MAX_DEADLINE_MS = 24 * 3_600_000;
 
 const name = z.string().min(1).max(MAX_NAME_LENGTH);
@@ -34,7 +40,9 @@
         z
           .object({
             id: name,
-            payload: z.unknown(),
+            payload: z
+              .unknown()
+              .refine(value => value !== undefined, 'Required'),
             resources: resources.optional(),
             expectedRunMs: z.number().finite().positive().optional(),
           })
@@ -45,11 +53,20 @@
   })
   .strict();
 
-const address = z
-  .string()
-  .regex(/^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$|^\[[0-9a-f:]+\]:\d{1,5}$/i, {
-    message: 'must be IP:PORT',
-  });
+function isAddress(text: string): boolean {
+  const {host, port} = splitAddress(text);
+  const family = isIP(host);
+  const bracketed = text.startsWith('[');
+  return (
+    (family === 4 || family === 6) &&
+    bracketed === (family === 6) &&
+    /:\d{1,5}$/.test(text) &&
+    port >= 1 &&
+    port <= MAX_PORT
+  );
+}
+
+const address = z.string().refine(isAddress, {message: 'must be IP:PORT'});
 
 const upstreamId = {
   address,
@@ -103,7 +120,8 @@
 ): SchemaTypes[K] {
   const parsed = SCHEMAS[schema].safeParse(body);
   if (parsed.success) return parsed.data as unknown as SchemaTypes[K];
-  const errors = parsed.error.issues.map(issue => ({
+  const {issues} = parsed.error;
+  const errors = issues.slice(0, MAX_LISTED_ERRORS).map(issue => ({
     path: issue.path.join('.'),
     message: issue.message,
   }));
