Answer bad paths and encodings with problems, allow long ids

Cause: path members over 100 characters were refused, though a job id with a long data centre name is longer; malformed paths were answered in another format; a declared content coding or charset was ignored. Change: path members up to 1,024 characters, problems for errors of the framework, 415 for anything but UTF-8 without a content coding.

--- a/packages/entry/src/http/http_server.ts
+++ b/packages/entry/src/http/http_server.ts
@@ -1,5 +1,6 @@
 /** The HTTP listener of an entry instance. */
 import {randomUUID} from 'node:crypto';
+import type {IncomingHttpHeaders} from 'node:http';
 
 import type {RequestLimits} from '@mustardferry/model';
 import {type Problem, PROBLEM_MEDIA_TYPE} from '@mustardferry/model';
@@ -20,6 +21,8 @@
 
 const MAX_ID_LENGTH = 128;
 const KEEP_ALIVE_MS = 72_000;
+/** Job ids and team names in paths; the default of 100 cuts long names. */
+const MAX_PARAM_LENGTH = 1_024;
 
 function requestIdOf(header: string | string[] | undefined): string {
   const given = Array.isArray(header) ? header[0] : header;
@@ -30,6 +33,25 @@
   return usable ? given : randomUUID();
 }
 
+function isClientError({statusCode}: FastifyError): boolean {
+  return statusCode !== undefined && statusCode >= 400 && statusCode < 500;
+}
+
+/** Refuses bodies in an encoding that the parsers would misread. */
+function checkEncoding(headers: IncomingHttpHeaders): void {
+  const coding = headers['content-encoding'] ?? 'identity';
+  const type = headers['content-type'] ?? '';
+  const charset = /;\s*charset="?([^\s;"]+)/i.exec(type)?.[1] ?? 'utf-8';
+  if (
+    !/^identity$/i.test(coding) ||
+    !/^(utf-8|utf8|us-ascii)$/i.test(charset)
+  ) {
+    throw new ProblemError(
+      problem('unsupported-encoding', 'Send UTF-8 without a content coding.'),
+    );
+  }
+}
+
 /** Converts an error of the HTTP layer to a problem. */
 function problemOf(err: FastifyError): Problem {
   if (err instanceof ProblemError) return err.problem;
@@ -42,7 +64,7 @@
     case 'FST_ERR_CTP_INVALID_CONTENT_LENGTH':
       return problem('invalid-body', 'The body is empty or truncated.');
     default:
-      if (err.statusCode === 400) return problem('invalid-body', err.message);
+      if (isClientError(err)) return problem('invalid-body', err.message);
       return problem('internal', 'The request could not be handled.');
   }
 }
@@ -115,6 +137,8 @@
     genReqId: req => requestIdOf(req.headers['request-id']),
     http: {maxHeaderSize: limits.maxHeaderBytes},
     forceCloseConnections: 'idle',
+    routerOptions: {maxParamLength: MAX_PARAM_LENGTH},
+    frameworkErrors: (err, _req, res) => void sendProblem(res, problemOf(err)),
   });
   app.server.maxConnections = limits.maxConnections;
   addJsonParser(app);
@@ -128,6 +152,7 @@
   app.setNotFoundHandler((req, res) =>
     sendProblem(res, problem('not-found', `${req.method} ${req.url}`)),
   );
+  app.addHook('onRequest', async req => checkEncoding(req.headers));
   app.addHook('onSend', async (req, res) => {
     void res.header('request-id', req.id);
   });
--- /dev/null
+++ b/packages/entry/tests/http/app.ts
@@ -0,0 +1,106 @@
+/** A server over fakes, answered by `app.inject` without a socket. */
+import type {ControlCommand, ControlResult} from '@mustardferry/coordination';
+import type {OwnerReply} from '@mustardferry/links';
+import {EMPTY_POLICY, type InstanceSettings} from '@mustardferry/model';
+
+import type {ControlService} from '../../src/control/control_service.js';
+import type {IncomingJob, JobGateway} from '../../src/gateway/job_gateway.js';
+import {AccessControl} from '../../src/http/access.js';
+import {addHealthRoutes} from '../../src/http/health_routes.js';
+import {createHttpServer} from '../../src/http/http_server.js';
+import {addJobRoutes} from '../../src/http/job_routes.js';
+import {addOperatorRoutes} from '../../src/http/operator_routes.js';
+import {addUpstreamRoutes} from '../../src/http/upstream_routes.js';
+import type {UpstreamService} from '../../src/upstreams/upstream_service.js';
+import {JOB_ID, LOGGER, settings} from '../fixtures.js';
+
+/** What the fakes were asked and how they answer. */
+export class TestServer {
+  refusal: 'not-ready' | 'draining' | undefined;
+  drains = 0;
+  readonly jobs: IncomingJob[] = [];
+  readonly waits: number[] = [];
+  readonly commands: ControlCommand[] = [];
+  readonly announced: unknown[] = [];
+  reply: OwnerReply = {
+    type: 'job',
+    jobId: JOB_ID,
+    view: {
+      jobId: JOB_ID,
+      team: 'coop',
+      kind: 'posting',
+      idempotencyKey: 'k',
+      state: 'running',
+      recordKeptUntilMs: 0,
+    },
+  };
+  propose: (command: ControlCommand) => Promise<ControlResult> = async () => ({
+    outcome: 'accepted',
+    revision: 2,
+  });
+  readonly app;
+
+  constructor(change: Partial<InstanceSettings> = {}) {
+    const {limits, tokens} = settings(change);
+    this.app = createHttpServer({limits, logger: LOGGER});
+    const access = new AccessControl(tokens);
+    const refusal = () => this.refusal;
+    const gateway = this.gateway();
+    addJobRoutes(this.app, {gateway, access, limits, refusal});
+    addHealthRoutes(this.app, {refusal});
+    addUpstreamRoutes(this.app, {upstreams: this.upstreams(), access});
+    addOperatorRoutes(this.app, {
+      instance: 'e1',
+      control: this.control(),
+      access,
+      shares: () => ({}) as never,
+      upstreams: () => [],
+      instances: () => [],
+      drain: () => this.drains++,
+    });
+  }
+
+  private gateway(): JobGateway {
+    const byId = async (req: {readonly waitMs: number}) => {
+      this.waits.push(req.waitMs);
+      return this.reply;
+    };
+    const fake = {
+      submit: async (job: IncomingJob) => {
+        this.jobs.push(job);
+        return this.reply;
+      },
+      get: byId,
+      cancel: byId,
+      explain: byId,
+    };
+    return fake as unknown as JobGateway;
+  }
+
+  private control(): ControlService {
+    const fake = {
+      policy: EMPTY_POLICY,
+      isCurrent: false,
+      confirmedMsAgo: Infinity,
+      state: {answers: () => undefined},
+      auditPage: async () => undefined,
+      propose: (command: ControlCommand) => {
+        this.commands.push(command);
+        return this.propose(command);
+      },
+    };
+    return fake as unknown as ControlService;
+  }
+
+  private upstreams(): UpstreamService {
+    const fake = {
+      announce: (body: unknown) => {
+        this.announced.push(body);
+        return {accepted: true, renewAfterMs: 1_000};
+      },
+      leave: () => true,
+      reportUsage: (body: unknown) => this.announced.push(body),
+    };
+    return fake as unknown as UpstreamService;
+  }
+}
