Refuse an unusable Request-Id of an operator

Cause: a Request-Id with spaces or over 128 characters was replaced by a generated one, so a resend counted as another change. Change: such an id is refused as invalid-body.

--- a/packages/entry/src/http/operator_routes.ts
+++ b/packages/entry/src/http/operator_routes.ts
@@ -81,7 +81,11 @@
   if (typeof header !== 'string' || header === '') {
     fail('invalid-body', 'Request-Id: required, so that a resend is safe.');
   }
-  return req.id;
+  // The server replaces an unusable id, and a resend would get another one.
+  if (header !== req.id) {
+    fail('invalid-body', 'Request-Id: at most 128 printable characters.');
+  }
+  return header;
 }
 
 function count(text: string | undefined, otherwise: number): number {
