--- /dev/null
+++ b/packages/entry/tests/dispatch/admission.test.ts
@@ -0,0 +1,76 @@
+import {type Clock, install} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+
+import type {AdmissionVerdict} from '../../src/jobs/task_scheduler.js';
+import {JOB_ID, ONCE, TEAM, upstream} from '../fixtures.js';
+import {Harness} from './harness.js';
+
+const TASK = {id: 't', payload: 0};
+const BIG = {slots: 1, processors: 99, memoryMb: 0, accelerators: 0};
+
+describe('Admission', () => {
+  let clock: Clock;
+  beforeEach(() => (clock = install({now: 0})));
+  afterEach(() => clock.uninstall());
+
+  const cases = [
+    {
+      name: 'too large a task',
+      tasks: [{...TASK, resources: BIG}],
+      kind: ONCE,
+      code: 'no-upstream-large-enough',
+    },
+    {
+      name: 'one too large of two tasks',
+      tasks: [TASK, {...TASK, resources: BIG}],
+      kind: ONCE,
+      code: 'no-upstream-large-enough',
+    },
+    {
+      name: 'a kind that no upstream offers',
+      tasks: [TASK],
+      kind: {...ONCE, kind: 'none'},
+      code: 'no-upstream-for-kind',
+    },
+    {
+      name: 'more tasks than the queue takes',
+      tasks: Array<typeof TASK>(3).fill(TASK),
+      kind: {...ONCE, queueLimit: 2},
+      code: 'queue-full',
+    },
+    {name: 'no limit', tasks: [TASK], kind: ONCE, code: undefined},
+  ];
+  for (const {name, tasks, kind, code} of cases) {
+    it(`lets no job wait that can never run, and no other: ${name}`, async () => {
+      const harness = new Harness();
+      let verdict: AdmissionVerdict | undefined;
+      void harness.dispatcher
+        .admit({jobId: JOB_ID, job: {team: TEAM, kind}, tasks})
+        .then(value => (verdict = value));
+      await clock.tickAsync(5_000);
+      expect(verdict?.problem?.code).to.equal(code);
+      expect(verdict?.reason).to.be.a('string');
+      if (code !== undefined) {
+        expect(verdict?.problem).to.include({
+          outcome: 'not-run',
+          jobId: JOB_ID,
+        });
+      }
+      harness.close();
+    });
+  }
+
+  it('refuses no job whose upstream announces itself in time', async () => {
+    const harness = new Harness([]);
+    let verdict: AdmissionVerdict | undefined;
+    void harness.dispatcher
+      .admit({jobId: JOB_ID, job: {team: TEAM, kind: ONCE}, tasks: [TASK]})
+      .then(value => (verdict = value));
+    await clock.tickAsync(900);
+    expect(verdict).to.equal(undefined);
+    harness.add(upstream());
+    await clock.tickAsync(100);
+    expect(verdict).to.not.have.property('problem');
+    harness.close();
+  });
+});
