Check encodings after requests are counted

Cause: the check ran before the hook that counts open requests, so a refused body was counted down only and a draining instance never became idle. Change: the check runs before parsing, after all onRequest hooks.

--- a/packages/entry/src/http/http_server.ts
+++ b/packages/entry/src/http/http_server.ts
@@ -152,7 +152,7 @@
   app.setNotFoundHandler((req, res) =>
     sendProblem(res, problem('not-found', `${req.method} ${req.url}`)),
   );
-  app.addHook('onRequest', async req => checkEncoding(req.headers));
+  app.addHook('preParsing', async req => checkEncoding(req.headers));
   app.addHook('onSend', async (req, res) => {
     void res.header('request-id', req.id);
   });
--- a/packages/entry/tests/dispatch/task_attempt.test.ts
+++ b/packages/entry/tests/dispatch/task_attempt.test.ts
@@ -1,6 +1,6 @@
 import {
-  type UpstreamLink,
   UpstreamExchangeError,
+  type UpstreamLink,
   UpstreamNotReachedError,
   UpstreamProtocolError,
 } from '@mustardferry/links';
--- a/packages/entry/tests/http/app.ts
+++ b/packages/entry/tests/http/app.ts
@@ -18,6 +18,7 @@
 export class TestServer {
   refusal: 'not-ready' | 'draining' | undefined;
   drains = 0;
+  open = 0;
   readonly jobs: IncomingJob[] = [];
   readonly waits: number[] = [];
   readonly commands: ControlCommand[] = [];
@@ -43,6 +44,9 @@
   constructor(change: Partial<InstanceSettings> = {}) {
     const {limits, tokens} = settings(change);
     this.app = createHttpServer({limits, logger: LOGGER});
+    // As an instance counts them, to know when it is idle.
+    this.app.addHook('onRequest', async () => void this.open++);
+    this.app.addHook('onResponse', async () => void this.open--);
     const access = new AccessControl(tokens);
     const refusal = () => this.refusal;
     const gateway = this.gateway();
--- a/packages/entry/tests/http/job_routes.test.ts
+++ b/packages/entry/tests/http/job_routes.test.ts
@@ -118,6 +118,7 @@
         res.headers['request-id'],
       );
       expect(server.jobs).to.have.length(0);
+      expect(server.open, 'requests in flight').to.equal(0);
     });
   }
 
@@ -231,7 +232,9 @@
   }
 
   it('answers a malformed path with a problem', async () => {
-    const res = await new TestServer().app.inject('/v1/jobs/%E0%A4');
+    const server = new TestServer();
+    const res = await server.app.inject('/v1/jobs/%E0%A4');
+    expect(server.open, 'requests in flight').to.equal(0);
     expect(res.statusCode).to.equal(400);
     expect(res.json()).to.include({code: 'invalid-body', outcome: 'not-run'});
   });
