Use an upstream again that renews after a silence

Cause: a task that still ran kept the candidate of an expired upstream, and adding it again left it unavailable and under its former limit. Change: adding an upstream makes it available without a limit.

--- a/packages/entry/src/upstreams/upstream_pool.ts
+++ b/packages/entry/src/upstreams/upstream_pool.ts
@@ -75,6 +75,9 @@
       kinds: announcement.kinds,
       capacity: announcement.capacity,
     });
+    // A task may have kept the entry of an upstream that had expired.
+    this.candidates.setAvailable(key, true);
+    this.candidates.setLimit(key, Infinity);
   }
 
   /** Stops new work; the link stays until `removeIfIdle`. */
--- /dev/null
+++ b/packages/entry/tests/upstreams/upstream_pool.test.ts
@@ -0,0 +1,68 @@
+import {upstreamKey} from '@mustardferry/model';
+import {expect} from 'chai';
+
+import {UpstreamPool} from '../../src/upstreams/upstream_pool.js';
+import {upstream} from '../fixtures.js';
+
+const UPSTREAM = upstream();
+const KEY = upstreamKey(UPSTREAM);
+const USED = {slots: 1, processors: 0, memoryMb: 0, accelerators: 0};
+
+describe('UpstreamPool', () => {
+  let pool: UpstreamPool;
+  beforeEach(() => {
+    pool = new UpstreamPool({token: undefined, instancesInDataCentre: 3});
+    pool.add(UPSTREAM);
+    pool.candidates.setCredits(KEY, 4);
+  });
+  afterEach(() => pool.close());
+
+  it('gives a leaving upstream no new work, whatever its health', () => {
+    expect(pool.candidates.hasFree('posting')).to.equal(true);
+    pool.stopNewWork(UPSTREAM);
+    pool.setAllowance(KEY, 8);
+    pool.candidates.setCredits(KEY, 4);
+    expect(pool.candidates.hasFree('posting')).to.equal(false);
+    expect(pool.capacitiesFor('posting')).to.have.length(0);
+    expect(pool.isLeaving(KEY)).to.equal(true);
+  });
+
+  it('keeps the link of a leaving upstream until its tasks end', () => {
+    pool.candidates.started(KEY, 't', USED, 0);
+    const link = pool.linkTo(UPSTREAM);
+    pool.stopNewWork(UPSTREAM);
+    pool.removeIfIdle(KEY);
+    expect(pool.linkTo(UPSTREAM)).to.equal(link);
+    expect(pool.announcement(KEY)).to.equal(UPSTREAM);
+    pool.candidates.ended(KEY, 't');
+    pool.removeIfIdle(KEY);
+    expect(pool.announcement(KEY)).to.equal(undefined);
+    expect([...pool.all()]).to.have.length(0);
+    expect(pool.linkTo(UPSTREAM)).not.to.equal(link);
+  });
+
+  it('does not drop an idle upstream that stays', () => {
+    pool.removeIfIdle(KEY);
+    expect(pool.announcement(KEY)).to.equal(UPSTREAM);
+  });
+
+  it('does not shut out an upstream that comes back while a task runs', () => {
+    pool.candidates.started(KEY, 't', USED, 0);
+    pool.setAllowance(KEY, 0);
+    pool.stopNewWork(UPSTREAM);
+    pool.removeIfIdle(KEY);
+    pool.add(UPSTREAM);
+    pool.candidates.setCredits(KEY, 4);
+    expect(pool.candidates.hasFree('posting')).to.equal(true);
+    expect(pool.candidates.get(KEY)?.running).to.equal(1);
+  });
+
+  it('does not mix up two lives of an upstream', () => {
+    const next = upstream({incarnation: 2});
+    pool.add(next);
+    expect(pool.linkTo(next)).not.to.equal(pool.linkTo(UPSTREAM));
+    pool.stopNewWork(UPSTREAM);
+    pool.removeIfIdle(KEY);
+    expect(pool.announcement(upstreamKey(next))).to.equal(next);
+  });
+});
