Fix seven faults that the entry tests found

Cause: resumed attempts gave back credits that they never took and did not hold their link; an unrecorded seal or answer left a job open; a late slot report, a silent holder and a new allocator could put more credits out than slots. Change: resumed attempts are counted apart, unrecorded answers are retried, unrecorded seals end the job as unknown, credits end with the lease on both sides.

--- a/packages/entry/src/dispatch/attempt_book.ts
+++ b/packages/entry/src/dispatch/attempt_book.ts
@@ -35,13 +35,22 @@
     progress.started(jobId, this.rackOf(upstream), endsAtMs);
   }
 
+  /** Notes an attempt of an earlier owner, which keeps its upstream's link. */
+  resume(entry: TaskEntry, attempt: RunningAttempt): void {
+    const {upstream, chargeId} = attempt;
+    entry.running.set(attempt.attempt, attempt);
+    const {candidates} = this.options.pool;
+    candidates.started(upstream, chargeId, entry.queued.resources);
+  }
+
   vacate(entry: TaskEntry, attempt: RunningAttempt, now: number): void {
     const {pool, sharing, credits, progress} = this.options;
     const {upstream, chargeId} = attempt;
     entry.running.delete(attempt.attempt);
     pool.candidates.ended(upstream, chargeId);
-    credits.free(upstream);
     pool.removeIfIdle(upstream);
+    if (attempt.resumed === true) return;
+    credits.free(upstream);
     sharing.release(chargeId, now);
     progress.ended(entry.queued.jobId, this.rackOf(upstream));
   }
--- a/packages/entry/src/dispatch/attempt_follower.ts
+++ b/packages/entry/src/dispatch/attempt_follower.ts
@@ -165,6 +165,15 @@
         await owner.recordSeal(job.jobId, index, seal.attempt);
       } catch (err) {
         this.options.logger.info('seal-not-recorded', {jobId: job.jobId, err});
+        this.options.drop(entry);
+        // Without the record a later owner would refuse another start.
+        if (owner.active) {
+          owner.jobFailed(job, {
+            code: 'task-outcome-unknown',
+            detail: 'A start that did not happen could not be recorded.',
+            unknown: true,
+          });
+        }
         return;
       }
     }
--- a/packages/entry/src/dispatch/dispatcher.ts
+++ b/packages/entry/src/dispatch/dispatcher.ts
@@ -109,8 +109,9 @@
       startedAtMs: start.atMs,
       expectedRunMs: entry.queued.expectedRunMs,
       chargeId: `${entry.queued.taskId}#${start.attempt}`,
+      resumed: true,
     };
-    entry.running.set(attempt.attempt, attempt);
+    this.book.resume(entry, attempt);
     this.follower.resume(entry, attempt);
   }
 
--- a/packages/entry/src/dispatch/lease_renewer.ts
+++ b/packages/entry/src/dispatch/lease_renewer.ts
@@ -64,15 +64,18 @@
   }
 
   private renewDue(now: number): void {
-    const byLink = new Map<UpstreamLink, Leased[]>();
+    const due = new Map<UpstreamLink, Leased[]>();
+    for (const {link, renewAtMs} of this.attempts.values()) {
+      if (renewAtMs <= now) due.set(link, []);
+    }
+    // Leases that are due soon share the message.
     for (const attempt of this.attempts.values()) {
-      if (attempt.renewAtMs > now) continue;
+      const batch = due.get(attempt.link);
+      if (!batch || attempt.renewAtMs > now + this.periodMs / 2) continue;
       attempt.renewAtMs = now + this.periodMs;
-      const list = byLink.get(attempt.link);
-      if (list) list.push(attempt);
-      else byLink.set(attempt.link, [attempt]);
+      batch.push(attempt);
     }
-    for (const [link, attempts] of byLink) void this.renew(link, attempts);
+    for (const [link, attempts] of due) void this.renew(link, attempts);
   }
 
   private async renew(
--- a/packages/entry/src/dispatch/task_entry.ts
+++ b/packages/entry/src/dispatch/task_entry.ts
@@ -12,6 +12,8 @@
   readonly expectedRunMs: number;
   /** Id under which the attempt is charged and counted at its upstream. */
   readonly chargeId: string;
+  /** Started by an earlier owner, so it uses no credit of this instance. */
+  readonly resumed?: boolean;
   run?: TaskAttempt;
 }
 
--- a/packages/entry/src/jobs/job_owner.ts
+++ b/packages/entry/src/jobs/job_owner.ts
@@ -51,6 +51,8 @@
   readonly metrics: Metrics;
 }
 
+const RECORD_RETRY_MS = 100;
+
 /** Admits, runs and answers the jobs of a record group. */
 export class JobOwner extends JobOwnership {
   private readonly jobs = new Map<string, RunningJob>();
@@ -141,7 +143,7 @@
     const job = this.jobs.get(jobId);
     if (job !== undefined) {
       const answer = await job.wait(waitMs);
-      if (this.released && answer === undefined) return notOwnerReply(jobId);
+      if (job.isReleased) return notOwnerReply(jobId);
       return {
         type: 'job',
         jobId,
@@ -239,11 +241,8 @@
 
   private async settle(job: RunningJob, answer: JobAnswer): Promise<void> {
     this.deadlines.clear(job.jobId);
-    const stored = await this.record(job.jobId, answer);
-    if (stored === undefined) {
-      job.release();
-      return;
-    }
+    const stored = await this.recordUntilLost(job, answer);
+    if (stored === undefined) return;
     noteStep(job, 'answered', stored.outcome);
     this.options.explanations.put(job.jobId, job.steps);
     this.options.metrics.increment('jobs.answered', 1, {
@@ -259,6 +258,20 @@
     job.publish(stored);
   }
 
+  /** Retries while this is the owner; nobody is told before it is stored. */
+  private async recordUntilLost(
+    job: RunningJob,
+    answer: JobAnswer,
+  ): Promise<JobAnswer | undefined> {
+    while (!this.released) {
+      const stored = await this.record(job.jobId, answer);
+      if (stored !== undefined) return stored;
+      job.release();
+      await new Promise(resolve => setTimeout(resolve, RECORD_RETRY_MS));
+    }
+    return undefined;
+  }
+
   private record(
     jobId: string,
     answer: JobAnswer,
--- a/packages/entry/src/jobs/running_job.ts
+++ b/packages/entry/src/jobs/running_job.ts
@@ -81,6 +81,11 @@
     return this.started > 0 || this.takenOver;
   }
 
+  /** Whether waits ended without an answer. */
+  get isReleased(): boolean {
+    return this.released && this.published === undefined;
+  }
+
   get steps(): readonly ExplainStep[] {
     return this.explainSteps;
   }
--- a/packages/entry/src/slots/slot_allocator_service.ts
+++ b/packages/entry/src/slots/slot_allocator_service.ts
@@ -12,7 +12,6 @@
   readonly self: string;
   /** Instances of the data centre, this one included. */
   readonly instances: readonly string[];
-  readonly isUp: (instance: string) => boolean;
   /** Credits of a silent instance are free after this time. */
   readonly leaseMs: number;
 }
@@ -26,6 +25,8 @@
   inFlight: Credits = new Map();
   replySequence = 0;
   reportedAtMs = 0;
+  incarnation = '';
+  sequence = 0;
 }
 
 function merge(into: Map<string, number>, more: Credits): void {
@@ -76,9 +77,15 @@
     }
   }
 
-  /** Books a report and answers it. */
-  report(report: SlotReport, now: number): SlotReply {
+  /** Books a report and answers it; undefined for one that comes late. */
+  report(report: SlotReport, now: number): SlotReply | undefined {
     const holder = this.holderOf(report.from.name);
+    const {incarnation} = report.from;
+    const isLate =
+      holder.incarnation === incarnation && report.sequence <= holder.sequence;
+    if (isLate) return undefined;
+    holder.incarnation = incarnation;
+    holder.sequence = report.sequence;
     holder.reportedAtMs = now;
     const confirmed =
       report.allocator === this.options.self &&
@@ -156,13 +163,11 @@
 
   /**
    * A new allocator grants nothing before it knows what the others hold: all
-   * reachable instances have reported, or the leases of the rest have ended.
+   * instances have reported, or the leases of the rest have ended.
    */
   private knowsAllHolders(now: number): boolean {
-    const {instances, self, isUp, leaseMs} = this.options;
+    const {instances, leaseMs} = this.options;
     if (now - this.startedAtMs >= leaseMs) return true;
-    return instances.every(
-      name => this.holders.has(name) || (name !== self && !isUp(name)),
-    );
+    return instances.every(name => this.holders.has(name));
   }
 }
--- a/packages/entry/src/slots/slot_service.ts
+++ b/packages/entry/src/slots/slot_service.ts
@@ -32,6 +32,8 @@
 const MIN_REPORT_INTERVAL_MS = 50;
 const MAX_REPORT_INTERVAL_MS = 1_000;
 const REPORT_TIMEOUT_MS = 500;
+/** The rest of the lease covers a report in transit and timer delays. */
+const CREDIT_LEASE_PART = 0.7;
 
 /** Reports demand, applies grants, returns credits. */
 export class SlotService {
@@ -44,6 +46,8 @@
   private appliedReply = 0;
   private repliedBy = '';
   private reportedAtMs = 0;
+  /** When the last answered report was sent. */
+  private answeredAtMs = 0;
   private lastDemand = '';
   private reporting = false;
   private readonly timer: NodeJS.Timeout;
@@ -64,12 +68,11 @@
       return;
     }
     if (this.allocator !== undefined) return;
-    const {self, instances, network, leaseMs} = this.options;
+    const {self, instances, leaseMs} = this.options;
     this.allocator = new SlotAllocatorService(
       {
         self: self.name,
         instances,
-        isUp: name => network.isUp(name),
         leaseMs,
       },
       Date.now(),
@@ -126,8 +129,22 @@
     this.options.sharing.setCapacity(total);
   }
 
+  /**
+   * Gives up all credits before the allocator may grant them to others, when
+   * no report was answered for most of the lease.
+   */
+  private expireCredits(now: number): void {
+    const limitMs = this.options.leaseMs * CREDIT_LEASE_PART;
+    if (now - this.answeredAtMs < limitMs) return;
+    for (const [worker] of [...this.ledger.all()]) {
+      this.ledger.drop(worker);
+      this.publish(worker);
+    }
+  }
+
   private tick(): void {
     const now = Date.now();
+    this.expireCredits(now);
     const due = now - this.reportedAtMs >= MAX_REPORT_INTERVAL_MS;
     if (this.reporting || !(due || this.demandChanged())) return;
     void this.report(now);
@@ -168,7 +185,10 @@
         })),
         speeds: [],
       });
-      if (reply?.sequence === this.sequence) this.apply(reply);
+      if (reply?.sequence === this.sequence) {
+        this.answeredAtMs = now;
+        this.apply(reply);
+      }
     } catch (err) {
       this.options.logger.debug('slot-report-failed', {err});
     } finally {
