--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -1,3 +1,50 @@
+export {MAX_ANSWERS_LENGTH} from './control/answers_check.js';
+export {archiveAudit, AuditArchive} from './control/audit_archive.js';
+export {
+  type AuditContent,
+  auditHash,
+  type AuditVerification,
+  verifyAuditChain,
+} from './control/audit_chain.js';
+export {MAX_AUDIT_TAIL_ENTRIES} from './control/audit_tail.js';
+export {
+  type AbandonGroupCommand,
+  type Abandonment,
+  type AcceptAnswersCommand,
+  type ChangeOrigin,
+  type ControlCommand,
+  type ControlResult,
+  type DefineGroupsCommand,
+  type FirstControlResult,
+  type GrantedVoter,
+  type InvalidCode,
+  type RecordGroupDefinition,
+  type RecordGroupGeneration,
+  type RecordGroupView,
+  type RegisteredInstance,
+  type RegisterInstanceCommand,
+  type SetDrainingCommand,
+  type TeamAnswers,
+} from './control/control_messages.js';
+export {ControlState} from './control/control_state.js';
+export {recordGroupDefinitions} from './control/group_formation.js';
+export {MAX_REMEMBERED_REQUESTS} from './control/request_memory.js';
+export {AuditGapError, LogStorageError, SnapshotFormatError} from './errors.js';
+export {
+  type AdmitCommand,
+  type AdmitResult,
+  type FinishResult,
+  type RecordCounts,
+  type RecordLookup,
+  type RecordsCommand,
+  type RecordsResult,
+  type StartItem,
+  type StartRefusalReason,
+  type StartResult,
+  type SubmissionRecord,
+  type TaskStart,
+} from './records/record_messages.js';
+export {DEFAULT_MAX_RECORDS, RecordsState} from './records/records_state.js';
 export type {
   LogEffect,
   LogEvent,
@@ -67,3 +114,28 @@
 export {durableIndex, isAcknowledged} from './replicated_log/replication.js';
 export {StateMachine} from './replicated_log/state_machine.js';
 export {step} from './replicated_log/step.js';
+export {
+  DiskLogStorage,
+  type DiskLogStorageOptions,
+} from './storage_adapter/disk_log_storage.js';
+export {JournalAuditArchive} from './storage_adapter/journal_audit_archive.js';
+export type {
+  StoredEntry,
+  StoredLogContent,
+  StoredMemberId,
+  StoredSnapshot,
+} from './storage_adapter/stored_log.js';
+export type {
+  AnnounceResult,
+  ObservedUsage,
+  ReceiveResult,
+  RegisteredUpstream,
+  RegistrySender,
+  UpstreamChange,
+  UpstreamEvent,
+  UpstreamPeerMessage,
+} from './upstreams/upstream_messages.js';
+export {
+  UpstreamRegistry,
+  type UpstreamRegistryOptions,
+} from './upstreams/upstream_registry.js';
--- /dev/null
+++ b/packages/decisions/src/sharing/kind_queue.ts
@@ -0,0 +1,65 @@
+/** Waiting tasks of one kind of one team, earliest target time first. */
+import {type HeapItem, IndexedHeap} from '../common/heap.js';
+import type {QueuedTask} from './sharing_policy.js';
+
+/** A queued task with its place in the queue. */
+export interface QueueEntry extends HeapItem {
+  readonly task: QueuedTask;
+  /** Order of arrival, which breaks ties. */
+  readonly order: number;
+}
+
+function before(a: QueueEntry, b: QueueEntry): boolean {
+  const difference = a.task.targetAtMs - b.task.targetAtMs;
+  return difference !== 0 ? difference < 0 : a.order < b.order;
+}
+
+/** Queue with its totals kept up to date. */
+export class KindQueue {
+  private readonly heap = new IndexedHeap<QueueEntry>(before);
+  /** Tasks larger than the whole quota; they must not block the others. */
+  private readonly oversized = new Set<QueueEntry>();
+  private work = 0;
+
+  constructor(
+    readonly team: string,
+    readonly kind: string,
+  ) {}
+
+  get size(): number {
+    return this.heap.size + this.oversized.size;
+  }
+
+  get workMs(): number {
+    return this.size === 0 ? 0 : Math.max(0, this.work);
+  }
+
+  head(): QueueEntry | undefined {
+    return this.heap.peek();
+  }
+
+  add(entry: QueueEntry): void {
+    this.heap.push(entry);
+    this.work += entry.task.expectedRunMs;
+  }
+
+  /** Removes an entry; false when it is not in this queue. */
+  remove(entry: QueueEntry): boolean {
+    if (entry.heapIndex >= 0) this.heap.remove(entry);
+    else if (!this.oversized.delete(entry)) return false;
+    this.work -= entry.task.expectedRunMs;
+    return true;
+  }
+
+  /** Takes the head out of the order until the quota changes. */
+  setAsideHead(): void {
+    const entry = this.heap.pop();
+    if (entry) this.oversized.add(entry);
+  }
+
+  /** Puts the tasks that were set aside back into the order. */
+  restoreOversized(): void {
+    for (const entry of this.oversized) this.heap.push(entry);
+    this.oversized.clear();
+  }
+}
