Close a voter replacement with a log entry of its own

A replacement counted as committed once its leader knew it.

The leader now appends a closing entry as soon as it commits a replacement.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -61,11 +61,13 @@
 } from './replicated_log/core_state.js';
 export {
   entryAt,
+  hasQuorum,
   hasRecovered,
   initialState,
   lastIndex,
   termAt,
 } from './replicated_log/core_state.js';
+export {durableIndex, isAcknowledged} from './replicated_log/durability.js';
 export type {
   LogEntry,
   LogSnapshot,
@@ -111,7 +113,6 @@
   type MemoryLogStorageOptions,
 } from './replicated_log/memory_log_storage.js';
 export {ReplicatedLog} from './replicated_log/replicated_log.js';
-export {durableIndex, isAcknowledged} from './replicated_log/replication.js';
 export {StateMachine} from './replicated_log/state_machine.js';
 export {step} from './replicated_log/step.js';
 export {
--- a/packages/coordination/src/replicated_log/core_state.ts
+++ b/packages/coordination/src/replicated_log/core_state.ts
@@ -34,7 +34,15 @@
 export interface VoterConfig {
   readonly voters: readonly MemberId[];
   readonly previous: readonly MemberId[] | null;
+  /**
+   * Voters before the last replacement until its closing entry is committed.
+   * Only then does every majority of the new voters include one that knows of
+   * the commit, so that the group survives the loss of its leader.
+   */
+  readonly beforeRepair: readonly MemberId[] | null;
   readonly changeIndex: number;
+  /** Index of the closing entry of the last replacement; 0 without one. */
+  readonly closeIndex: number;
   /** Keys of incarnations that committed replacements removed. */
   readonly removed: readonly string[];
 }
@@ -123,7 +131,9 @@
     config: {
       voters: snapshot.voters,
       previous: null,
+      beforeRepair: null,
       changeIndex: 0,
+      closeIndex: 0,
       removed: [],
     },
     commitIndex: snapshot.index,
@@ -185,20 +195,39 @@
 
 /** Derives the voter sets from the snapshot and the entries. */
 export function configOf<C>(state: LogCoreState<C>): VoterConfig {
-  let voters = state.snapshot.voters;
-  let previous: readonly MemberId[] | null = null;
-  let changeIndex = 0;
-  const removed: string[] = [];
-  for (const {index, replacement} of state.entries) {
-    if (!replacement) continue;
-    previous = index > state.commitIndex ? voters : null;
-    changeIndex = index;
-    if (previous === null) removed.push(memberKey(replacement.remove));
-    voters = voters.map(voter =>
-      sameMember(voter, replacement.remove) ? replacement.add : voter,
-    );
+  const {commitIndex} = state;
+  let config: VoterConfig = {
+    voters: state.snapshot.voters,
+    previous: null,
+    beforeRepair: null,
+    changeIndex: 0,
+    closeIndex: 0,
+    removed: [],
+  };
+  for (const {index, replacement, closes} of state.entries) {
+    if (replacement) {
+      const {voters, removed} = config;
+      const {remove, add} = replacement;
+      const committed = index <= commitIndex;
+      config = {
+        voters: voters.map(voter => (sameMember(voter, remove) ? add : voter)),
+        previous: committed ? null : voters,
+        beforeRepair: voters,
+        changeIndex: index,
+        closeIndex: 0,
+        removed: committed ? [...removed, memberKey(remove)] : removed,
+      };
+    } else if (closes !== undefined) {
+      const beforeRepair = index <= commitIndex ? null : config.beforeRepair;
+      config = {...config, previous: null, beforeRepair, closeIndex: index};
+    }
   }
-  return {voters, previous, changeIndex, removed};
+  return config;
+}
+
+/** Whether an entry changes what `configOf` derives. */
+export function changesConfig<C>({replacement, closes}: LogEntry<C>): boolean {
+  return replacement !== undefined || closes !== undefined;
 }
 
 /** Whether this member is a voter in the newest voter set that it knows. */
--- a/packages/coordination/src/replicated_log/following.ts
+++ b/packages/coordination/src/replicated_log/following.ts
@@ -2,6 +2,7 @@
 import {InvariantError} from '@mustardferry/model';
 
 import {
+  changesConfig,
   configOf,
   electionDeadline,
   lastIndex,
@@ -170,7 +171,7 @@
     entries: [...kept, ...fresh],
     syncedIndex: Math.min(state.syncedIndex, from - 1),
   };
-  const changed = conflict || fresh.some(entry => entry.replacement);
+  const changed = conflict || fresh.some(changesConfig);
   return changed ? {...next, config: configOf(next)} : next;
 }
 
@@ -180,5 +181,5 @@
 ): LogCoreState<C> {
   if (commitIndex === state.commitIndex) return state;
   const next = {...state, commitIndex};
-  return next.config.previous ? {...next, config: configOf(next)} : next;
+  return next.config.beforeRepair ? {...next, config: configOf(next)} : next;
 }
--- a/packages/coordination/src/replicated_log/log_entries.ts
+++ b/packages/coordination/src/replicated_log/log_entries.ts
@@ -16,6 +16,11 @@
   readonly durable: boolean;
   /** Present only in entries that change the voter set. */
   readonly replacement?: VoterReplacement;
+  /**
+   * Index of a committed replacement that this entry closes. Who holds the
+   * entry knows that the replacement is committed, whatever its commit index.
+   */
+  readonly closes?: number;
 }
 
 /** State of the machine after the entry at `index`, and the voters there. */
--- a/packages/coordination/src/replicated_log/log_options.ts
+++ b/packages/coordination/src/replicated_log/log_options.ts
@@ -74,7 +74,10 @@
    */
   readonly recovered: boolean;
   readonly lastIndex: number;
-  /** Committed voters; a replacement shows once it is committed. */
+  /**
+   * Voters to rely on: a replacement shows once it is complete, so that the
+   * loss of any minority of these voters does not stop the group.
+   */
   readonly voters: readonly MemberId[];
   /**
    * Age of the last sign that a leader is in charge: on the leader, of the
--- a/packages/coordination/src/replicated_log/log_status.ts
+++ b/packages/coordination/src/replicated_log/log_status.ts
@@ -25,7 +25,7 @@
     commitIndex: state.commitIndex,
     ...applied,
     lastIndex: lastIndex(state),
-    voters: state.config.previous ?? state.config.voters,
+    voters: state.config.beforeRepair ?? state.config.voters,
     confirmedMsAgo: now - confirmedAt,
     leaseMs: Math.max(0, leaseUntil(state, clock) - now),
   };
--- a/packages/coordination/src/replicated_log/machine_runner.ts
+++ b/packages/coordination/src/replicated_log/machine_runner.ts
@@ -50,7 +50,8 @@
   /**
    * Serializes the machine when enough entries were applied since the last
    * snapshot. A leader waits for voters that lag slightly, so that they don't
-   * need a snapshot for the last few entries.
+   * need a snapshot for the last few entries. None is taken while a voter
+   * replacement is incomplete.
    */
   snapshotIfDue(
     state: LogCoreState<C>,
@@ -58,7 +59,7 @@
   ): Uint8Array | null {
     const count = this.applied - state.snapshot.index;
     const every = settings.snapshotEveryEntries;
-    if (count < every) return null;
+    if (count < every || state.config.beforeRepair) return null;
     const lags = state.config.voters.some(
       voter =>
         !sameMember(voter, state.self) &&
--- a/packages/coordination/src/replicated_log/replicated_log.ts
+++ b/packages/coordination/src/replicated_log/replicated_log.ts
@@ -2,6 +2,7 @@
 import type {LogEffect} from './core_events.js';
 import {CoreRunner} from './core_runner.js';
 import {committedInTerm, lastIndex, type LogCoreState} from './core_state.js';
+import {durableIndex} from './durability.js';
 import {EffectRunner} from './effect_runner.js';
 import {LeadershipNotifier} from './leadership.js';
 import {LogFailedError, NotLeaderError} from './log_errors.js';
@@ -21,7 +22,6 @@
 import {closedError, proposalRefusal} from './proposal_refusal.js';
 import {Proposals} from './proposals.js';
 import {ReadBarriers} from './read_barriers.js';
-import {durableIndex} from './replication.js';
 import {choosePreferred, chooseSuccessor} from './successors.js';
 
 /** One member of a replicated log. */
--- a/packages/coordination/src/replicated_log/replication.ts
+++ b/packages/coordination/src/replicated_log/replication.ts
@@ -1,8 +1,8 @@
 /** The leader's side of replication: sending, commit rule, voter replacement. */
 import {
+  changesConfig,
   committedInTerm,
   configOf,
-  entryAt,
   hasQuorum,
   lastIndex,
   type LogCoreConfig,
@@ -39,7 +39,7 @@
     ctx.effects.push({type: 'append', entries: [entry]});
   }
   const appended = {...state, entries: [...state.entries, entry]};
-  const next = entry.replacement
+  const next = changesConfig(entry)
     ? {...appended, config: configOf(appended)}
     : appended;
   return advanceCommit(ctx, next);
@@ -203,13 +203,13 @@
     hasQuorum(state.config, member => matchOf(member) >= index),
   );
   if (commitIndex === undefined) return state;
-  return settleReplacement({...state, commitIndex});
+  return closeReplacement(ctx, settleReplacement({...state, commitIndex}));
 }
 
 /** Ends a replacement once it is committed. */
 function settleReplacement<C>(state: LogCoreState<C>): LogCoreState<C> {
-  const {previous, changeIndex} = state.config;
-  if (!previous || changeIndex > state.commitIndex) return state;
+  const {beforeRepair, changeIndex} = state.config;
+  if (!beforeRepair || changeIndex > state.commitIndex) return state;
   const config = configOf(state);
   const progress = Object.fromEntries(
     Object.entries(state.progress).filter(
@@ -219,6 +219,23 @@
   return {...state, config, progress};
 }
 
+/**
+ * Appends the closing entry of a committed replacement. Without it a voter
+ * that did not learn of the commit would still need a majority of the old
+ * voters, which may be lost together with the leader.
+ */
+function closeReplacement<C>(
+  ctx: StepContext<C>,
+  state: LogCoreState<C>,
+): LogCoreState<C> {
+  const {beforeRepair, changeIndex, closeIndex} = state.config;
+  const due =
+    beforeRepair && changeIndex <= state.commitIndex && closeIndex === 0;
+  if (!due) return state;
+  const content = {commands: [], durable: false, closes: changeIndex};
+  return sendToAll(ctx, appendAsLeader(ctx, state, content), false);
+}
+
 /** Asks the target of a leadership transfer to start once it has every entry. */
 export function requestTakeover<C>(
   ctx: StepContext<C>,
@@ -235,13 +252,13 @@
 /**
  * Starts the replacement of a voter's old incarnation by a learner of the same
  * name that holds all committed entries and is registered. One at a time: the
- * previous replacement must be committed.
+ * previous replacement must be complete.
  */
 export function promoteLearner<C>(
   ctx: StepContext<C>,
   state: LogCoreState<C>,
 ): LogCoreState<C> {
-  if (!committedInTerm(state) || state.config.previous || state.transfer) {
+  if (!committedInTerm(state) || state.config.beforeRepair || state.transfer) {
     return state;
   }
   for (const {member, match, ackedAt} of Object.values(state.progress)) {
@@ -260,27 +277,3 @@
   }
   return state;
 }
-
-/** Highest committed index that a voter's disk holds. */
-export function durableIndex<C>(
-  state: LogCoreState<C>,
-  cfg: LogCoreConfig,
-): number {
-  if (cfg.syncEverything) return state.commitIndex;
-  const own = cfg.hasDisk && !state.diskFailed ? state.syncedIndex : 0;
-  const voters = state.config.voters.map(
-    voter => state.progress[memberKey(voter)]?.synced ?? 0,
-  );
-  return Math.min(state.commitIndex, Math.max(own, ...voters));
-}
-
-/** Whether the entry at an index may be acknowledged to its proposer. */
-export function isAcknowledged<C>(
-  state: LogCoreState<C>,
-  cfg: LogCoreConfig,
-  index: number,
-): boolean {
-  if (index > state.commitIndex) return false;
-  const entry = entryAt(state, index);
-  return !entry?.durable || durableIndex(state, cfg) >= index;
-}
--- a/packages/coordination/src/storage_adapter/stored_log.ts
+++ b/packages/coordination/src/storage_adapter/stored_log.ts
@@ -19,6 +19,7 @@
     readonly remove: StoredMemberId;
     readonly add: StoredMemberId;
   };
+  readonly closes?: number;
 }
 
 /** State of the machine after the entry at `index`, and the voters there. */
--- a/packages/verification/src/checks.ts
+++ b/packages/verification/src/checks.ts
@@ -16,33 +16,32 @@
 
 const MAX_STATES = 1_000_000;
 
+interface ElectionCheckOptions {
+  readonly name: string;
+  readonly syncEverything?: boolean;
+  readonly maxDepth: number;
+  readonly maxCrashes?: number;
+  readonly finds?: readonly Fault[];
+  /** Actions that lead to the state to start from. */
+  readonly prefix?: readonly string[];
+}
+
 /** Scenario (a); explored from several states that a prefix reaches. */
-function electionCheck(
-  name: string,
-  syncEverything: boolean,
-  maxDepth: number,
-  prefix: readonly string[] = [],
-): Check {
+function electionCheck({
+  name,
+  syncEverything = false,
+  maxDepth,
+  maxCrashes = 1,
+  finds = [],
+  prefix = [],
+}: ElectionCheckOptions): Check {
   const bounds = {maxDepth, maxStates: MAX_STATES};
-  const finds: Fault[] = syncEverything
-    ? ['acknowledge-before-sync']
-    : ['vote-after-lost-memory'];
+  const limits = {syncEverything, maxTerm: 2, maxProposals: 1, maxCrashes};
   return {
     name,
     bounds,
-    finds: prefix.length === 0 ? finds : [],
-    run: fault =>
-      explore(
-        electionScenario({
-          syncEverything,
-          maxTerm: 2,
-          maxProposals: 1,
-          maxCrashes: 1,
-          fault,
-        }),
-        bounds,
-        prefix,
-      ),
+    finds,
+    run: fault => explore(electionScenario({...limits, fault}), bounds, prefix),
   };
 }
 
@@ -67,17 +66,51 @@
   'a: receive join of term 0 from b#2',
 ];
 
+/** Every member holds the replacement; its leader can commit it next. */
+const REPLACING = [
+  ...JOINING,
+  'a: send heartbeat',
+  'c: receive append of term 1 from a#1',
+  'c: receive append of term 1 from a#1 (2)',
+  'b: receive append of term 1 from a#1 (3)',
+  'a: receive append-reply of term 1 from b#2',
+  'b: receive append of term 1 from a#1 (4)',
+  'a: receive append-reply of term 1 from b#2 (2)',
+  'c: receive append of term 1 from a#1 (4)',
+  'b: receive append of term 1 from a#1 (5)',
+  'a: receive append-reply of term 1 from b#2 (3)',
+];
+
 /** All checks, in the order in which they run. */
 export const CHECKS: readonly Check[] = [
-  electionCheck('election, in memory', false, 8),
-  electionCheck(
-    'election, in memory, after a commit',
-    false,
-    7,
-    COMMITTED_ON_TWO,
-  ),
-  electionCheck('election, in memory, during a repair', false, 6, JOINING),
-  electionCheck('election, synced', true, 10),
+  electionCheck({
+    name: 'election, in memory',
+    maxDepth: 8,
+    finds: ['vote-after-lost-memory'],
+  }),
+  electionCheck({
+    name: 'election, in memory, after a commit',
+    maxDepth: 7,
+    prefix: COMMITTED_ON_TWO,
+  }),
+  electionCheck({
+    name: 'election, in memory, during a repair',
+    maxDepth: 6,
+    prefix: JOINING,
+  }),
+  electionCheck({
+    name: 'election, in memory, around the end of a repair',
+    maxDepth: 8,
+    maxCrashes: 2,
+    finds: ['repaired-at-commit'],
+    prefix: REPLACING,
+  }),
+  electionCheck({
+    name: 'election, synced',
+    syncEverything: true,
+    maxDepth: 10,
+    finds: ['acknowledge-before-sync'],
+  }),
   {
     name: 'admission and takeover',
     finds: ['no-epoch-check', 'forward-to-non-home', 'start-before-sync'],
--- a/packages/verification/src/election_scenario.ts
+++ b/packages/verification/src/election_scenario.ts
@@ -22,6 +22,7 @@
 } from './group_model.js';
 import {Interner, Memo} from './interner.js';
 import {type LogHistory, NO_HISTORY, observe} from './log_invariants.js';
+import {strandedAfterRepair} from './repair_invariant.js';
 
 /** Bounds of the scenario, besides the exploration's. */
 export interface ElectionScenarioOptions {
@@ -95,8 +96,12 @@
       state.history,
     ].join('|');
 
-  readonly violationOf = (state: ElectionState): string | null =>
-    this.histories.valueOf(state.history).violation;
+  readonly violationOf = (state: ElectionState): string | null => {
+    const {violation} = this.histories.valueOf(state.history);
+    if (violation) return violation;
+    const cores = NAMES.map((_, at) => this.memberAt(state, at).core);
+    return strandedAfterRepair(cores, this.options.fault);
+  };
 
   readonly actionsOf = (
     state: ElectionState,
--- a/packages/verification/src/faults.ts
+++ b/packages/verification/src/faults.ts
@@ -8,6 +8,7 @@
   'forward-to-non-home',
   'start-before-sync',
   'serve-before-recovery',
+  'repaired-at-commit',
 ] as const;
 
 /** A seeded fault. */
