--- a/packages/verification/src/settled_group.ts
+++ b/packages/verification/src/settled_group.ts
@@ -88,8 +88,11 @@
       ? self.incarnation
       : String(Number(self.incarnation) + 1);
     const id = {name: self.name, incarnation};
-    const member = startMember(id, old.disk, this.rules);
-    let next = this.put(group, at, {member, sent: []});
+    const started = this.steps.get(`${this.ids.idOf(old)} restart`, () => {
+      const member = startMember(id, old.disk, this.rules);
+      return this.shared({member, sent: []});
+    });
+    let next = this.put(group, at, started);
     if (keeps) return next;
     group.members.forEach((_, i) => {
       next = this.send(next, i, {type: 'registered', member: id});
@@ -102,14 +105,28 @@
     return this.deliver(group, [], true);
   }
 
+  /** Equal for members that behave the same. */
+  idOf(member: ModelMember): number {
+    return this.ids.idOf(member);
+  }
+
   private step(member: ModelMember, event: ModelEvent): MemberStep {
     const key = `${this.ids.idOf(member)} ${JSON.stringify(event)}`;
-    return this.steps.get(key, () => stepMember(member, event, this.rules));
+    return this.steps.get(key, () =>
+      this.shared(stepMember(member, event, this.rules)),
+    );
   }
 
   private sync(member: ModelMember): MemberStep {
     const key = `${this.ids.idOf(member)} sync`;
-    return this.steps.get(key, () => syncMember(member, this.rules));
+    return this.steps.get(key, () =>
+      this.shared(syncMember(member, this.rules)),
+    );
+  }
+
+  /** Uses one object for equal members, so that each is serialized once. */
+  private shared({member, sent}: MemberStep): MemberStep {
+    return {member: this.ids.valueOf(this.ids.idOf(member)), sent};
   }
 
   private send(
