Check formation and abandonment of record groups

The new checks apply the commands to the real ControlState and model instances that restart, register, join late by old views and abandon, and voters replaced inside a generation. Two seeded faults show that they can fail: joining before the registration is accepted, and joining after the promise.

--- a/packages/verification/src/checks.ts
+++ b/packages/verification/src/checks.ts
@@ -3,6 +3,7 @@
 import {electionScenario} from './election_scenario.js';
 import {type Exploration, type ExplorationBounds, explore} from './explorer.js';
 import type {Fault} from './faults.js';
+import {formationScenario, NAMES, registration} from './formation_scenario.js';
 import {takeoverScenario} from './takeover_scenario.js';
 
 /** One exploration of one scenario. */
@@ -92,6 +93,12 @@
   'a: receive append-reply of term 1 from b#2 (3)',
 ];
 
+const THREE_VOTERS = [
+  ...NAMES.map((_, at) => `control log: apply ${registration(at, 1)}`),
+  ...NAMES.map(name => `${name}: join generation 1`),
+  'c: become voter of generation 1',
+];
+
 /** All checks, in the order in which they run. */
 export const CHECKS: readonly Check[] = [
   electionCheck({
@@ -147,4 +154,23 @@
       return explore(model, {...this.bounds, ...part}, part.prefix);
     },
   },
+  {
+    name: 'generations of a record group',
+    finds: ['join-after-abandonment'],
+    bounds: {maxDepth: 10, maxStates: MAX_STATES},
+    run(fault, part = {}) {
+      const model = formationScenario({maxRestarts: 2, fault});
+      return explore(model, {...this.bounds, ...part}, part.prefix);
+    },
+  },
+  {
+    name: 'generations of a record group, from three voters',
+    finds: ['join-before-registration', 'join-after-abandonment'],
+    bounds: {maxDepth: 8, maxStates: MAX_STATES},
+    run(fault, part = {}) {
+      const model = formationScenario({maxRestarts: 2, fault});
+      const prefix = [...THREE_VOTERS, ...(part.prefix ?? [])];
+      return explore(model, {...this.bounds, ...part}, prefix);
+    },
+  },
 ];
--- a/packages/verification/src/faults.ts
+++ b/packages/verification/src/faults.ts
@@ -9,6 +9,8 @@
   'start-before-sync',
   'serve-before-recovery',
   'repaired-at-commit',
+  'join-before-registration',
+  'join-after-abandonment',
 ] as const;
 
 /** A seeded fault. */
