--- a/packages/verification/src/faults.ts
+++ b/packages/verification/src/faults.ts
@@ -8,6 +8,9 @@
   'forward-to-non-home',
   'start-before-sync',
   'serve-before-recovery',
+  'repaired-at-commit',
+  'join-before-registration',
+  'join-after-abandonment',
 ] as const;
 
 /** A seeded fault. */
