Report the applied index in the status of a log

Cause: statusOf() spread a class instance whose appliedIndex and recovered are getters, which a spread doesn't copy. Both were undefined, so control voters saw no state and never became ready.

Change: copy both values by name; test them on voters and after a restart.

--- a/packages/coordination/src/replicated_log/log_status.ts
+++ b/packages/coordination/src/replicated_log/log_status.ts
@@ -23,7 +23,9 @@
     term: state.term,
     leader: state.leader,
     commitIndex: state.commitIndex,
-    ...applied,
+    // Getters of a class instance are not copied by a spread.
+    appliedIndex: applied.appliedIndex,
+    recovered: applied.recovered,
     lastIndex: lastIndex(state),
     voters: state.config.previous ?? state.config.voters,
     confirmedMsAgo: now - confirmedAt,
--- a/packages/coordination/tests/replicated_log/replicated_log.test.ts
+++ b/packages/coordination/tests/replicated_log/replicated_log.test.ts
@@ -84,6 +84,27 @@
     expect(log.status().leaseMs).to.be.greaterThan(0);
   });
 
+  it('reports its applied index and recovery, without which voters never get ready', async () => {
+    const leader = await start({mode: 'sync-everything'});
+    const fresh = cluster.logOf(leader.name).status();
+    expect(fresh.recovered).to.equal(true);
+    const result = cluster.logOf(leader.name).propose('x');
+    await cluster.run(500);
+    await result;
+    for (const name of NAMES) {
+      const {appliedIndex, commitIndex, recovered} = cluster
+        .logOf(name)
+        .status();
+      expect(appliedIndex).to.equal(commitIndex);
+      expect(recovered).to.equal(true);
+    }
+    const [follower = ''] = followersOf(leader.name);
+    cluster.isolate(follower);
+    cluster.crash(follower);
+    await cluster.start(follower);
+    expect(cluster.logOf(follower).status().recovered).to.equal(false);
+  });
+
   it('a durable proposal is not answered before a disk has it', async () => {
     await start({disks: ['b'], syncMs: 5000});
     const log = cluster.logOf((await cluster.untilLeader()).name);
