Keep unconfirmed control states from being shown as current

Cause: readiness and isCurrent of a control voter did not look at status().recovered, so a restarted voter could serve and show an older configuration than before its restart, and pass it on to instances that pull. Losing the leader also made the age of a confirmed state infinite.

Change: a voter has a state only once recovered; the time of the last confirmation survives the loss of a leader; pages from an unrecovered voter carry an infinite age, and a puller has no state until a finite one arrives. GET /v1/config and /v1/answers answer not-ready until then.

--- a/packages/entry/src/control/control_service.ts
+++ b/packages/entry/src/control/control_service.ts
@@ -7,6 +7,7 @@
   ControlState,
   type FetchedLog,
   LogFailedError,
+  type LogFeed,
   LogFollower,
   type LogStorage,
   type MemberId,
@@ -16,31 +17,20 @@
   ReplicatedLog,
 } from '@mustardferry/coordination';
 import type {ControlFetch, ControlReply} from '@mustardferry/links';
-import {
-  type AuditPage,
-  type InstanceSettings,
-  MustardferryError,
-  type Policy,
-} from '@mustardferry/model';
+import type {AuditPage, InstanceSettings, Policy} from '@mustardferry/model';
 import type {Logger} from '@mustardferry/runtime';
 
 import {LogNetworkTransport} from '../peers/log_network_transport.js';
 import type {PeerNetwork} from '../peers/peer_network.js';
+import {
+  ControlOutcomeUnknownError,
+  ControlUnavailableError,
+} from './control_errors.js';
 import {ControlPuller, FETCH_WAIT_MS} from './control_puller.js';
 
 /** Name of the control log in peer messages. */
 export const CONTROL_LOG = 'control';
 
-/** The change was never proposed. */
-export class ControlUnavailableError extends MustardferryError {
-  readonly code = 'control-unavailable';
-}
-
-/** The change was proposed, and it is not known whether it took effect. */
-export class ControlOutcomeUnknownError extends MustardferryError {
-  readonly code = 'control-outcome-unknown';
-}
-
 /** Options of the service. */
 export interface ControlServiceOptions {
   readonly settings: InstanceSettings;
@@ -73,6 +63,7 @@
   });
   private readonly waiting = new Set<() => void>();
   private readonly puller: ControlPuller;
+  private confirmedAt = Number.NEGATIVE_INFINITY;
   private closed = false;
 
   constructor(private readonly options: ControlServiceOptions) {
@@ -129,23 +120,25 @@
     return role === 'leader' ? 'leader' : 'follower';
   }
 
-  /** Age of the leader's last confirmation of this state. */
+  /**
+   * Age of the leader's last confirmation of this state, in milliseconds.
+   * Infinity before the first one: a restarted voter may hold an older state
+   * than it showed before, and so may those that pull from it.
+   */
   get confirmedMsAgo(): number {
-    return this.log === undefined
-      ? this.follower.confirmedMsAgo
-      : this.log.status().confirmedMsAgo;
+    if (this.log === undefined) return this.follower.confirmedMsAgo;
+    this.noteConfirmation();
+    return performance.now() - this.confirmedAt;
   }
 
   get isCurrent(): boolean {
-    return this.confirmedMsAgo <= CURRENT_WITHIN_MS;
+    return this.hasState && this.confirmedMsAgo <= CURRENT_WITHIN_MS;
   }
 
-  /** Whether any state was ever received or recovered. */
+  /** Whether this life holds a state that a leader has confirmed. */
   get hasState(): boolean {
-    return (
-      this.follower.appliedIndex > 0 ||
-      (this.log?.status().appliedIndex ?? 0) > 0
-    );
+    const {appliedIndex} = this.log?.status() ?? this.follower;
+    return appliedIndex > 0 && Number.isFinite(this.confirmedMsAgo);
   }
 
   receive(from: MemberId, message: unknown): void {
@@ -153,6 +146,7 @@
   }
 
   peerLost(name: string): void {
+    this.noteConfirmation();
     this.log?.peerLost(name);
   }
 
@@ -202,12 +196,12 @@
     const source = this.log ?? this.follower;
     const deadline = Date.now() + Math.min(req.waitMs, FETCH_WAIT_MS);
     while (!this.closed) {
-      const page = source.fetch(req.afterIndex, FETCH_MAX_ENTRIES);
+      const page = this.pageOf(source, req.afterIndex);
       const leftMs = deadline - Date.now();
       if (page.commitIndex > req.afterIndex || leftMs <= 0) return page;
       await this.nextChange(leftMs);
     }
-    return source.fetch(req.afterIndex, FETCH_MAX_ENTRIES);
+    return this.pageOf(source, req.afterIndex);
   }
 
   async close(): Promise<void> {
@@ -227,6 +221,22 @@
     return page ?? (await this.options.audit?.page(after, limit));
   }
 
+  private pageOf(
+    source: LogFeed<ControlCommand>,
+    afterIndex: number,
+  ): FetchedLog<ControlCommand> {
+    const {confirmedMsAgo} = this;
+    return {...source.fetch(afterIndex, FETCH_MAX_ENTRIES), confirmedMsAgo};
+  }
+
+  /** Keeps the time of the confirmation, which the log forgets with a leader. */
+  private noteConfirmation(): void {
+    const status = this.log?.status();
+    if (status === undefined || !status.recovered) return;
+    const at = performance.now() - status.confirmedMsAgo;
+    this.confirmedAt = Math.max(this.confirmedAt, at);
+  }
+
   private archive(): void {
     const {audit, logger} = this.options;
     if (audit === undefined) return;
--- a/packages/entry/src/http/operator_routes.ts
+++ b/packages/entry/src/http/operator_routes.ts
@@ -18,9 +18,9 @@
 
 import {
   ControlOutcomeUnknownError,
-  type ControlService,
   ControlUnavailableError,
-} from '../control/control_service.js';
+} from '../control/control_errors.js';
+import type {ControlService} from '../control/control_service.js';
 import type {AccessControl} from './access.js';
 import {fail} from './problems.js';
 
@@ -140,6 +140,14 @@
   }
 }
 
+/** A state from before a restart may be older than what was shown then. */
+function requireState(control: ControlService): void {
+  if (control.hasState) return;
+  fail('not-ready', 'No confirmed configuration is held yet.', {
+    retryAfterSeconds: 1,
+  });
+}
+
 function sendAnswers(
   res: FastifyReply,
   control: ControlService,
@@ -160,6 +168,7 @@
 ): void {
   app.get<TeamParams>('/v1/answers/:team', async (req, res) => {
     access.require('operators', req.headers);
+    requireState(control);
     return sendAnswers(res, control, req.params.team);
   });
   app.put<TeamParams>('/v1/answers/:team', async (req, res) => {
@@ -191,6 +200,7 @@
   const {control, access} = options;
   app.get('/v1/config', async (req, res) => {
     access.require('operators', req.headers);
+    requireState(control);
     const {confirmedMsAgo} = control;
     const view: ConfigView = {
       instance: options.instance,
