Abandon a generation only after a proven loss of its quorum

Cause: an instance without a vote gave up a generation 5 s after it last polled a known leader. A reconcile round that waits for the control log polls rarely, so a leader heard in between did not count, and a slow leader was enough; an abandoned generation was never joined again, and the instance stayed unready. One failing group also kept the other groups of the round from being reconciled, and a group whose log failed to open was kept.

Change: status messages list the logs in which an instance votes. Abandoning needs a majority of the member names that report no vote, this one included, which proves that no quorum is left. Each message of a leader restarts the 5 s. An instance that gave up a generation is ready while a reachable member serves it. Groups are joined only from a confirmed control state, each group fails alone, and registration moves to a file of its own.

--- a/packages/entry/src/groups/group_service.ts
+++ b/packages/entry/src/groups/group_service.ts
@@ -10,6 +10,8 @@
 import type {PeerNetwork} from '../peers/peer_network.js';
 import type {GroupStorage} from '../storage/instance_storage.js';
 import {type GroupDefinition, groupDefinitions} from './group_members.js';
+import {GroupRegistration} from './group_registration.js';
+import {hasLostQuorum, type MemberReport} from './quorum_loss.js';
 import {type OwnerContext, RecordGroup} from './record_group.js';
 
 /** Options of the service. */
@@ -21,11 +23,13 @@
   readonly owner: OwnerContext;
   readonly logger: Logger;
   readonly onOwnership: () => void;
+  /** Told when the logs in which this instance votes change. */
+  readonly onVotes: () => void;
   readonly openStorage: (group: string) => Promise<GroupStorage>;
 }
 
 const RECONCILE_PERIOD_MS = 500;
-/** A member without a vote that hears of no leader for this long gives up. */
+/** A generation without a quorum is given up after this time without leader. */
 const ABANDON_AFTER_MS = 5_000;
 
 /** Follows the control state: joins, replaces and leaves generations. */
@@ -34,15 +38,16 @@
   private readonly definitions: readonly GroupDefinition[];
   private readonly groups = new Map<string, RecordGroup>();
   private readonly abandoned = new Map<string, number>();
+  private readonly registration: GroupRegistration;
   private readonly timer: NodeJS.Timeout;
   private reconciling = false;
   private again = false;
-  private registered = false;
-  private defined = false;
+  private reportedVotes = '';
   private closed = false;
 
   constructor(private readonly options: GroupServiceOptions) {
     this.definitions = groupDefinitions(options.settings);
+    this.registration = new GroupRegistration(this.definitions, options);
     this.timer = setInterval(() => this.reconcile(), RECONCILE_PERIOD_MS);
   }
 
@@ -58,12 +63,21 @@
       .map(group => group.name);
   }
 
-  /** Whether every group that this instance votes in has a leader. */
+  /** Logs in which this instance has a vote. */
+  get votes(): readonly string[] {
+    return [...this.groups.values()]
+      .filter(group => group.isVoter)
+      .map(group => group.logName);
+  }
+
+  /** Whether every group of which this instance is a member has a leader. */
   get isReady(): boolean {
-    const mine = this.definitions.filter(definition =>
-      this.isMember(definition),
+    return this.definitions.every(
+      definition =>
+        !this.isMember(definition) ||
+        this.groups.get(definition.name)?.leader !== undefined ||
+        this.isServedWithoutSelf(definition),
     );
-    return mine.every(({name}) => this.groups.get(name)?.leader !== undefined);
   }
 
   get openJobs(): number {
@@ -125,6 +139,22 @@
     await Promise.all([...this.groups.values()].map(group => group.close()));
   }
 
+  /**
+   * Whether others serve a generation that this instance has given up. It may
+   * not join it any more, but it reaches its owner like any other instance.
+   */
+  private isServedWithoutSelf({name, members}: GroupDefinition): boolean {
+    const {network} = this.options;
+    return (
+      this.abandoned.has(name) &&
+      members.some(
+        member =>
+          network.isUp(member.name) &&
+          network.statusOf(member.name)?.ownedGroups.includes(name) === true,
+      )
+    );
+  }
+
   private isMember(definition: GroupDefinition): boolean {
     const {name} = this.options.settings;
     return definition.members.some(member => member.name === name);
@@ -132,11 +162,16 @@
 
   private async reconcileOnce(): Promise<void> {
     const {control} = this.options;
-    await this.defineGroups();
-    await this.register();
+    // A state from before a restart may name a generation that has ended.
+    if (!control.hasState) return;
+    await this.registration.defineGroups();
+    await this.registration.register();
     for (const definition of this.definitions) {
       if (!this.isMember(definition)) continue;
-      await this.reconcileGroup(definition);
+      await this.reconcileGroup(definition).catch((err: unknown) => {
+        const {name: group} = definition;
+        this.options.logger.warn('group-reconcile-failed', {group, err});
+      });
     }
     for (const instance of control.state.instances()) {
       const {name, incarnation} = instance;
@@ -144,51 +179,21 @@
         group.setRegistered({name, incarnation});
       }
     }
+    this.reportVotes();
   }
 
-  /** The leader of the control log writes the groups of its settings. */
-  private async defineGroups(): Promise<void> {
-    const {control} = this.options;
-    if (this.defined || control.role !== 'leader') return;
-    const missing = this.definitions.filter(
-      ({name}) => control.state.group(name) === undefined,
-    );
-    if (missing.length > 0) {
-      await control.propose({
-        type: 'define-groups',
-        groups: missing.map(({name, members}) => ({
-          group: name,
-          names: members.map(member => member.name),
-        })),
-        atMs: Date.now(),
-      });
-    }
-    this.defined = true;
-  }
-
-  private async register(): Promise<void> {
-    const {control, settings, incarnation} = this.options;
-    if (this.registered) return;
-    const address = settings.instances.find(
-      instance => instance.name === settings.name,
-    );
-    const result = await control.propose({
-      type: 'register-instance',
-      name: settings.name,
-      dataCentre: settings.dataCentre,
-      address: address?.address ?? settings.listen,
-      disk: settings.dataFolder !== '',
-      incarnation,
-      atMs: Date.now(),
-    });
-    this.registered = result.outcome !== 'invalid';
+  private reportVotes(): void {
+    const votes = this.votes.join(' ');
+    if (votes === this.reportedVotes) return;
+    this.reportedVotes = votes;
+    this.options.onVotes();
   }
 
   private async reconcileGroup(definition: GroupDefinition): Promise<void> {
     const {control} = this.options;
     const current = control.state.group(definition.name)?.current;
     const running = this.groups.get(definition.name);
-    if (current === undefined || !this.registered) return;
+    if (current === undefined || !this.registration.registered) return;
     if (running?.generation.generation === current.generation) {
       await this.abandonIfStuck(running);
       return;
@@ -198,6 +203,8 @@
       return;
     }
     await running?.close();
+    this.groups.delete(definition.name);
+    this.abandoned.delete(definition.name);
     await this.join(definition, current);
   }
 
@@ -220,18 +227,23 @@
       owner,
       onOwnership,
     });
-    this.groups.set(definition.name, group);
     await group.open();
+    if (this.closed) {
+      await group.close();
+      return;
+    }
+    this.groups.set(definition.name, group);
     logger.info('group-joined', {
       group: definition.name,
       generation: generation.generation,
     });
   }
 
-  /** Promises never to join a generation that seems to have no quorum left. */
+  /** Promises never to join a generation that has no quorum left. */
   private async abandonIfStuck(group: RecordGroup): Promise<void> {
     const {logger} = this.options;
     if (group.isVoter || group.leaderlessMs < ABANDON_AFTER_MS) return;
+    if (!hasLostQuorum(group.logName, this.reportsOf(group.definition))) return;
     const {generation} = group.generation;
     logger.warn('group-abandoned', {group: group.name, generation});
     this.abandoned.set(group.name, generation);
@@ -240,6 +252,15 @@
     await this.proposeAbandonment(group.name, generation);
   }
 
+  private reportsOf({members}: GroupDefinition): readonly MemberReport[] {
+    const {network} = this.options;
+    return members.map(({name}) => {
+      if (name === this.self.name) return {name, votes: this.votes};
+      const up = network.isUp(name);
+      return {name, votes: up ? network.statusOf(name)?.votes : undefined};
+    });
+  }
+
   private async proposeAbandonment(
     group: string,
     generation: number,
--- a/packages/entry/src/groups/record_group.ts
+++ b/packages/entry/src/groups/record_group.ts
@@ -83,7 +83,7 @@
 
   /** Milliseconds without a known leader; 0 while there is one. */
   get leaderlessMs(): number {
-    if (this.leader !== undefined) this.lastLeaderAt = Date.now();
+    this.noteLeader();
     return Date.now() - this.lastLeaderAt;
   }
 
@@ -116,9 +116,11 @@
 
   receive(from: MemberId, message: unknown): void {
     this.log?.receive(from, message as LogMessage<RecordsCommand>);
+    this.noteLeader();
   }
 
   peerLost(peer: string): void {
+    this.noteLeader();
     this.log?.peerLost(peer);
   }
 
@@ -144,6 +146,11 @@
     await this.log?.close();
   }
 
+  /** Callers that poll rarely would miss a leader that was known between. */
+  private noteLeader(): void {
+    if (this.leader !== undefined) this.lastLeaderAt = Date.now();
+  }
+
   private leadership(leader: boolean, term: number): void {
     const {options} = this;
     options.logger.info('group-leadership', {group: this.name, leader, term});
--- a/packages/entry/src/instance_parts.ts
+++ b/packages/entry/src/instance_parts.ts
@@ -73,6 +73,7 @@
       policyRevision: this.control.policy.revision,
       controlRole: this.control.role,
       ownedGroups: this.groups.ownedGroups,
+      votes: this.groups.votes,
     };
   }
 
@@ -178,6 +179,7 @@
       },
       openStorage: group => storage.openGroup(group),
       onOwnership: () => this.ownershipChanged(),
+      onVotes: () => this.network.broadcastStatus(),
     });
   }
 
--- a/packages/links/src/peer_messages.ts
+++ b/packages/links/src/peer_messages.ts
@@ -33,6 +33,8 @@
   readonly policyRevision: number;
   readonly controlRole: 'leader' | 'follower' | 'learner';
   readonly ownedGroups: readonly string[];
+  /** Names of the record group logs in which the instance has a vote. */
+  readonly votes: readonly string[];
 }
 
 /** A submission on its way from the receiving instance to the owner. */
