Leave running tasks to the next owner on a release

Cause: an owner that lost its leadership cancelled its jobs through the scheduler, which sent stop requests also for running tasks that must never be repeated. The next owner found them stopped and answered task-failed.

Change: TaskScheduler.release drops queued tasks, stops attempts of repeatable kinds, and leaves the others running without a stop request and without renewals from here. The next owner renews resumed attempts at once: with a last renewal 1 s before a crash, an election of 1 s and a timer of 1 s, the lease of 3 s could lapse. Removing a renewal no longer ends that of a later ownership by the same instance.

--- a/packages/entry/src/dispatch/attempt_launcher.ts
+++ b/packages/entry/src/dispatch/attempt_launcher.ts
@@ -53,7 +53,11 @@
     attempt: RunningAttempt,
     upstream: UpstreamId,
   ): Promise<AttemptOutcome> {
-    return this.follow(entry, attempt, upstream, run => run.resume());
+    return this.follow(entry, attempt, upstream, run => {
+      // The earlier owner's last renewal may be almost a lease ago.
+      this.options.renewer.renewNow(entry.queued.taskId, attempt.attempt);
+      return run.resume();
+    });
   }
 
   private async follow(
@@ -76,12 +80,15 @@
     });
     attempt.run = run;
     const {taskId} = req;
-    const startedAtMs = attempt.startedAtMs;
-    renewer.add({taskId, attempt: attempt.attempt, startedAtMs, link, run});
+    // An earlier owner's clock may be ahead of this one.
+    const startedAtMs = Math.min(attempt.startedAtMs, Date.now());
+    const leased = {taskId, attempt: attempt.attempt, startedAtMs, link, run};
+    attempt.stopRenewing = () => renewer.remove(leased);
+    renewer.add(leased);
     try {
       return await begin(run);
     } finally {
-      renewer.remove(taskId, attempt.attempt);
+      renewer.remove(leased);
     }
   }
 
--- a/packages/entry/src/dispatch/dispatcher.ts
+++ b/packages/entry/src/dispatch/dispatcher.ts
@@ -114,13 +114,14 @@
   }
 
   override cancel(job: RunningJob, _answer: JobAnswer): void {
-    this.options.sharing.cancel(job.jobId, Date.now());
-    for (const entry of this.tasks.ofJob(job.jobId)) {
-      for (const attempt of entry.running.values()) attempt.run?.stop();
-      if (entry.running.size === 0) this.drop(entry);
-      else entry.place = 'ended';
-    }
-    this.wake();
+    this.end(job, attempt => attempt.run?.stop());
+  }
+
+  override release(job: RunningJob): void {
+    const {repeatable} = job.kind;
+    this.end(job, ({run, stopRenewing}) =>
+      repeatable ? run?.stop() : stopRenewing?.(),
+    );
   }
 
   /** Looks for tasks to start; called when credits or upstreams change. */
@@ -142,6 +143,17 @@
     }
   }
 
+  /** Drops waiting tasks; running ones keep their slots until they end. */
+  private end(job: RunningJob, leave: (attempt: RunningAttempt) => void): void {
+    this.options.sharing.cancel(job.jobId, Date.now());
+    for (const entry of this.tasks.ofJob(job.jobId)) {
+      for (const attempt of entry.running.values()) leave(attempt);
+      if (entry.running.size === 0) this.drop(entry);
+      else entry.place = 'ended';
+    }
+    this.wake();
+  }
+
   private enqueue(entry: TaskEntry): void {
     entry.place = 'queued';
     this.options.sharing.enqueue(entry.queued, Date.now());
--- a/packages/entry/src/dispatch/lease_renewer.ts
+++ b/packages/entry/src/dispatch/lease_renewer.ts
@@ -16,10 +16,15 @@
 /** Part of the lease after which a renewal is sent. */
 const RENEWALS_PER_LEASE = 3;
 
+function keyOf(taskId: string, attempt: number): string {
+  return `${taskId}#${attempt}`;
+}
+
 /** Sends one renewal per upstream and round, for all tasks that need one. */
 export class LeaseRenewer {
   readonly name = 'lease-renewer';
   private readonly attempts = new Map<string, LeasedAttempt>();
+  private readonly urgent = new Set<string>();
   private readonly timer: NodeJS.Timeout;
 
   constructor(
@@ -33,11 +38,25 @@
   }
 
   add(attempt: LeasedAttempt): void {
-    this.attempts.set(`${attempt.taskId}#${attempt.attempt}`, attempt);
+    this.attempts.set(keyOf(attempt.taskId, attempt.attempt), attempt);
   }
 
-  remove(taskId: string, attempt: number): void {
-    this.attempts.delete(`${taskId}#${attempt}`);
+  /**
+   * Ends the renewals of an attempt. When this instance became its owner again
+   * meanwhile, the renewals of the later ownership go on.
+   */
+  remove(attempt: LeasedAttempt): void {
+    const key = keyOf(attempt.taskId, attempt.attempt);
+    if (this.attempts.get(key) === attempt) this.attempts.delete(key);
+  }
+
+  /**
+   * Renews an attempt that another instance started. Takeovers resume many at
+   * once, so those of one turn of the event loop share a request.
+   */
+  renewNow(taskId: string, attempt: number): void {
+    if (this.urgent.size === 0) setImmediate(() => this.renewUrgent());
+    this.urgent.add(keyOf(taskId, attempt));
   }
 
   close(): void {
@@ -45,11 +64,24 @@
   }
 
   private renewAll(now: number): void {
+    // Short tasks end before their first renewal is due.
+    const dueMs = this.leaseMs / RENEWALS_PER_LEASE;
+    this.renewEach(
+      [...this.attempts.values()].filter(
+        ({startedAtMs}) => now - startedAtMs >= dueMs,
+      ),
+    );
+  }
+
+  private renewUrgent(): void {
+    const due = [...this.urgent].flatMap(key => this.attempts.get(key) ?? []);
+    this.urgent.clear();
+    this.renewEach(due);
+  }
+
+  private renewEach(due: readonly LeasedAttempt[]): void {
     const byLink = new Map<UpstreamLink, LeasedAttempt[]>();
-    for (const attempt of this.attempts.values()) {
-      // Short tasks end before their first renewal is due.
-      if (now - attempt.startedAtMs < this.leaseMs / RENEWALS_PER_LEASE)
-        continue;
+    for (const attempt of due) {
       const list = byLink.get(attempt.link);
       if (list) list.push(attempt);
       else byLink.set(attempt.link, [attempt]);
--- a/packages/entry/src/dispatch/task_entry.ts
+++ b/packages/entry/src/dispatch/task_entry.ts
@@ -13,6 +13,8 @@
   /** Id under which the attempt is charged and counted at its upstream. */
   readonly chargeId: string;
   run?: TaskAttempt;
+  /** Leaves the lease to another instance; no effect once the attempt ended. */
+  stopRenewing?: () => void;
 }
 
 /** A task with its queue form and its attempts. */
--- a/packages/entry/src/jobs/job_owner.ts
+++ b/packages/entry/src/jobs/job_owner.ts
@@ -114,8 +114,9 @@
     this.released = true;
     this.deadlines.clearAll();
     for (const job of this.jobs.values()) {
-      const lost = job.fail({code: 'owner-unknown', detail: 'owner changed'});
-      if (lost !== undefined) this.options.scheduler.cancel(job, lost);
+      // Settled, so that nothing on its way starts or completes a task.
+      job.fail({code: 'owner-unknown', detail: 'owner changed'});
+      this.options.scheduler.release(job);
       job.release();
     }
     this.jobs.clear();
--- a/packages/entry/src/jobs/task_scheduler.ts
+++ b/packages/entry/src/jobs/task_scheduler.ts
@@ -45,6 +45,13 @@
   abstract resume(task: ScheduledTask): void;
   /** Drops the queued tasks of a job and stops its running ones. */
   abstract cancel(job: RunningJob, answer: JobAnswer): void;
+  /**
+   * Leaves the tasks of a job to the next owner. Queued tasks are dropped.
+   * Running tasks of a repeatable kind are stopped, since the next owner runs
+   * them again and needs their slots. Others go on without a stop request and
+   * without renewals from here: the next owner renews and awaits them.
+   */
+  abstract release(job: RunningJob): void;
 }
 
 /** Verdict about a job; `reason` and `answer` go into its explanation. */
--- /dev/null
+++ b/packages/entry/tests/jobs/job_owner_release.test.ts
@@ -0,0 +1,70 @@
+import {NullMetrics} from '@mustardferry/runtime';
+import {expect} from 'chai';
+
+import {JobExplanations} from '../../src/jobs/job_explanations.js';
+import {JobOwner} from '../../src/jobs/job_owner.js';
+import {
+  type AdmissionVerdict,
+  TaskScheduler,
+} from '../../src/jobs/task_scheduler.js';
+import {
+  JOB_ID,
+  kindOf,
+  LOGGER,
+  recordsOf,
+  teamWith,
+} from '../takeover_fixtures.js';
+
+class NotingScheduler extends TaskScheduler {
+  readonly events: string[] = [];
+
+  override async admit(): Promise<AdmissionVerdict> {
+    return {reason: 'capacity-available'};
+  }
+
+  override schedule(): void {
+    this.events.push('schedule');
+  }
+
+  override resume(): void {
+    this.events.push('resume');
+  }
+
+  override cancel(): void {
+    this.events.push('cancel');
+  }
+
+  override release(): void {
+    this.events.push('release');
+  }
+}
+
+describe('JobOwner.release', () => {
+  it('releases running jobs: a cancel would stop tasks the next owner awaits', async () => {
+    const scheduler = new NotingScheduler();
+    const proposed: string[] = [];
+    const owner = new JobOwner({
+      group: 'dc1.0',
+      epoch: {group: 'dc1.0', generation: 1, term: 2},
+      state: recordsOf(false),
+      propose: async command => {
+        proposed.push(command.type);
+        throw new Error('not the leader');
+      },
+      policy: () => ({revision: 1, teams: [teamWith(kindOf(false))]}),
+      scheduler,
+      retentionMs: 60_000,
+      holdsLease: () => true,
+      hasDurableStorage: () => true,
+      explanations: new JobExplanations(),
+      logger: LOGGER,
+      metrics: new NullMetrics(),
+    });
+    owner.takeOver();
+    const waiting = owner.reply(JOB_ID, 1_000);
+    owner.release();
+    expect(scheduler.events).to.deep.equal(['resume', 'release']);
+    expect((await waiting).type).to.equal('not-owner');
+    expect(proposed).to.deep.equal([]);
+  });
+});
