Answer refusals that asked no owner with an unknown outcome

Cause: draining and not-ready claimed not-run also for a request that names a key or a job, although an earlier request may have been admitted.

--- a/packages/entry/src/http/job_routes.ts
+++ b/packages/entry/src/http/job_routes.ts
@@ -87,13 +87,23 @@
 
 type Guard = (req: FastifyRequest) => void;
 
+/**
+ * Whether the request is about a job that may have been admitted before: only
+ * its owner, which a refusing instance doesn't ask, knows what became of it.
+ */
+function mayBeAdmitted(req: FastifyRequest): boolean {
+  return req.method !== 'POST' || req.headers['idempotency-key'] !== undefined;
+}
+
 function guardOf(options: JobRouteOptions): Guard {
   return req => {
     options.access.require('clients', req.headers);
     const refusal = options.refusal();
-    if (refusal !== undefined) {
-      fail(refusal, 'Use another instance.', {retryAfterSeconds: 1});
-    }
+    if (refusal === undefined) return;
+    fail(refusal, 'Use another instance.', {
+      outcome: mayBeAdmitted(req) ? 'unknown' : 'not-run',
+      retryAfterSeconds: 1,
+    });
   };
 }
 
--- a/packages/entry/src/http/problems.ts
+++ b/packages/entry/src/http/problems.ts
@@ -20,7 +20,11 @@
   return {status, outcome, title};
 }
 
-/** Every error code of the HTTP API; docs/errors.md explains each. */
+/**
+ * Every error code of the HTTP API; docs/errors.md explains each. A refusal as
+ * `draining` or `not-ready` is `unknown` for a request that names a job or a
+ * key, because the owner was not asked.
+ */
 export const PROBLEM_CATALOG = {
   unauthorized: entry(401, 'not-run', 'Missing or wrong bearer token'),
   'invalid-body': entry(400, 'not-run', 'The request is malformed'),
