--- a/packages/coordination/src/replicated_log/log_status.ts
+++ b/packages/coordination/src/replicated_log/log_status.ts
@@ -23,6 +23,7 @@
     term: state.term,
     leader: state.leader,
     commitIndex: state.commitIndex,
+    // Getters of a class instance are not copied by a spread.
     appliedIndex: applied.appliedIndex,
     recovered: applied.recovered,
     lastIndex: lastIndex(state),
--- a/packages/entry/src/dispatch/lease_renewer.ts
+++ b/packages/entry/src/dispatch/lease_renewer.ts
@@ -13,7 +13,8 @@
   readonly run: TaskAttempt;
 }
 
-interface Leased extends LeasedAttempt {
+interface Lease {
+  readonly held: LeasedAttempt;
   renewAtMs: number;
 }
 
@@ -21,15 +22,20 @@
 const RENEWALS_PER_LEASE = 3;
 const TICK_MS = 100;
 
+function keyOf(taskId: string, attempt: number): string {
+  return `${taskId}#${attempt}`;
+}
+
 /**
  * Sends one renewal per upstream and round. The reply lists tasks that no
  * longer run, which is how an answer lost on a silent connection is noticed.
  */
 export class LeaseRenewer {
   readonly name = 'lease-renewer';
-  private readonly attempts = new Map<string, Leased>();
+  private readonly leases = new Map<string, Lease>();
   private readonly timer: NodeJS.Timeout;
   private readonly periodMs: number;
+  private immediate: NodeJS.Immediate | undefined;
 
   constructor(
     private readonly leaseMs: number,
@@ -39,48 +45,69 @@
     this.timer = setInterval(() => this.renewDue(Date.now()), TICK_MS);
   }
 
-  /** Keeps a lease; the first renewal is due a third of the lease from now. */
-  add(attempt: LeasedAttempt): void {
-    this.attempts.set(`${attempt.taskId}#${attempt.attempt}`, {
-      ...attempt,
-      renewAtMs: attempt.startedAtMs + this.periodMs,
-    });
+  /** Keeps a lease; the first renewal is due a third of the lease after start. */
+  add(held: LeasedAttempt): void {
+    const renewAtMs = held.startedAtMs + this.periodMs;
+    this.leases.set(keyOf(held.taskId, held.attempt), {held, renewAtMs});
+  }
+
+  /**
+   * Ends the renewals of an attempt. When this instance became its owner again
+   * meanwhile, the renewals of the later ownership go on.
+   */
+  remove(held: LeasedAttempt): void {
+    const key = keyOf(held.taskId, held.attempt);
+    if (this.leases.get(key)?.held === held) this.leases.delete(key);
   }
 
-  remove(taskId: string, attempt: number): void {
-    this.attempts.delete(`${taskId}#${attempt}`);
+  /**
+   * Renews an attempt that another instance started. Takeovers resume many at
+   * once, so those of one turn of the event loop share a request.
+   */
+  renewNow(taskId: string, attempt: number): void {
+    const lease = this.leases.get(keyOf(taskId, attempt));
+    if (lease !== undefined) lease.renewAtMs = 0;
+    this.renewInThisTurn();
   }
 
   /** Renews all leases on a link now, to learn which tasks have ended. */
-  renewNow(link: UpstreamLink): void {
-    for (const attempt of this.attempts.values()) {
-      if (attempt.link === link) attempt.renewAtMs = 0;
+  renewLink(link: UpstreamLink): void {
+    for (const lease of this.leases.values()) {
+      if (lease.held.link === link) lease.renewAtMs = 0;
     }
-    this.renewDue(Date.now());
+    this.renewInThisTurn();
   }
 
   close(): void {
     clearInterval(this.timer);
+    clearImmediate(this.immediate);
+  }
+
+  private renewInThisTurn(): void {
+    this.immediate ??= setImmediate(() => {
+      this.immediate = undefined;
+      this.renewDue(Date.now());
+    });
   }
 
   private renewDue(now: number): void {
-    const due = new Map<UpstreamLink, Leased[]>();
-    for (const {link, renewAtMs} of this.attempts.values()) {
-      if (renewAtMs <= now) due.set(link, []);
+    const due = new Map<UpstreamLink, LeasedAttempt[]>();
+    for (const {held, renewAtMs} of this.leases.values()) {
+      if (renewAtMs <= now) due.set(held.link, []);
     }
     // Leases that are due soon share the message.
-    for (const attempt of this.attempts.values()) {
-      const batch = due.get(attempt.link);
-      if (!batch || attempt.renewAtMs > now + this.periodMs / 2) continue;
-      attempt.renewAtMs = now + this.periodMs;
-      batch.push(attempt);
+    for (const lease of this.leases.values()) {
+      const batch = due.get(lease.held.link);
+      if (!batch || lease.renewAtMs > now + this.periodMs / 2) continue;
+      lease.renewAtMs = now + this.periodMs;
+      batch.push(lease.held);
     }
     for (const [link, attempts] of due) void this.renew(link, attempts);
   }
 
   private async renew(
     link: UpstreamLink,
-    attempts: readonly Leased[],
+    attempts: readonly LeasedAttempt[],
   ): Promise<void> {
     const req = {
       leaseMs: this.leaseMs,
--- a/packages/entry/src/dispatch/task_entry.ts
+++ b/packages/entry/src/dispatch/task_entry.ts
@@ -15,6 +15,8 @@
   /** Started by an earlier owner, so it uses no credit of this instance. */
   readonly resumed?: boolean;
   run?: TaskAttempt;
+  /** Leaves the lease to another instance; no effect once the attempt ended. */
+  stopRenewing?: () => void;
 }
 
 /** A task with its queue form and its attempts. */
--- a/packages/entry/src/jobs/job_owner.ts
+++ b/packages/entry/src/jobs/job_owner.ts
@@ -116,8 +116,9 @@
     this.released = true;
     this.deadlines.clearAll();
     for (const job of this.jobs.values()) {
-      const lost = job.fail({code: 'owner-unknown', detail: 'owner changed'});
-      if (lost !== undefined) this.options.scheduler.cancel(job, lost);
+      // Settled, so that nothing on its way starts or completes a task.
+      job.fail({code: 'owner-unknown', detail: 'owner changed'});
+      this.options.scheduler.release(job);
       job.release();
     }
     this.jobs.clear();
@@ -276,9 +277,8 @@
     jobId: string,
     answer: JobAnswer,
   ): Promise<JobAnswer | undefined> {
-    const propose = (command: RecordsCommand): Promise<RecordsResult> =>
-      this.propose(command);
-    return recordAnswer(propose, jobId, answer, this.options.logger);
+    const {logger} = this.options;
+    return recordAnswer(each => this.propose(each), jobId, answer, logger);
   }
 
   private async propose(
--- a/packages/entry/tests/dispatch/lease_renewer.test.ts
+++ b/packages/entry/tests/dispatch/lease_renewer.test.ts
@@ -3,7 +3,10 @@
 import {type Clock, install} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 
-import {LeaseRenewer} from '../../src/dispatch/lease_renewer.js';
+import {
+  type LeasedAttempt,
+  LeaseRenewer,
+} from '../../src/dispatch/lease_renewer.js';
 import type {TaskAttempt} from '../../src/dispatch/task_attempt.js';
 import {LOGGER} from '../fixtures.js';
 
@@ -29,11 +32,14 @@
       return answer();
     },
   } as unknown as UpstreamLink;
-  const add = (taskId: string): void => {
+  const add = (taskId: string): LeasedAttempt => {
     const run = {
       checkNow: () => checked.push(taskId),
     } as unknown as TaskAttempt;
-    renewer.add({taskId, attempt: 1, startedAtMs: Date.now(), link, run});
+    const startedAtMs = Date.now();
+    const held = {taskId, attempt: 1, startedAtMs, link, run};
+    renewer.add(held);
+    return held;
   };
 
   it('lets no lease lapse, with one message for all tasks of an upstream', async () => {
@@ -47,12 +53,11 @@
   });
 
   it('sends nothing for short or ended tasks', async () => {
-    add('a');
-    renewer.remove('a', 1);
+    renewer.remove(add('a'));
     await clock.tickAsync(900);
-    add('b');
+    const later = add('b');
     await clock.tickAsync(200);
-    renewer.remove('b', 1);
+    renewer.remove(later);
     await clock.tickAsync(3_000);
     expect(sent).to.have.length(0);
     renewer.close();
--- a/packages/entry/tests/fixtures.ts
+++ b/packages/entry/tests/fixtures.ts
@@ -198,6 +198,7 @@
   readonly scheduled: ScheduledTask[] = [];
   readonly resumed: ScheduledTask[] = [];
   readonly cancelled: string[] = [];
+  readonly released: string[] = [];
 
   override async admit(): Promise<AdmissionVerdict> {
     this.admissions++;
@@ -212,6 +213,10 @@
     this.resumed.push(task);
   }
 
+  override release(job: RunningJob): void {
+    this.released.push(job.jobId);
+  }
+
   override cancel(job: RunningJob): void {
     this.cancelled.push(job.jobId);
   }
--- a/packages/entry/tests/http/app.ts
+++ b/packages/entry/tests/http/app.ts
@@ -87,6 +87,7 @@
   private control(): ControlService {
     const fake = {
       policy: EMPTY_POLICY,
+      hasState: true,
       isCurrent: false,
       confirmedMsAgo: Infinity,
       state: {answers: () => undefined},
--- a/packages/entry/tests/http/operator_routes.test.ts
+++ b/packages/entry/tests/http/operator_routes.test.ts
@@ -6,7 +6,7 @@
 import {
   ControlOutcomeUnknownError,
   ControlUnavailableError,
-} from '../../src/control/control_service.js';
+} from '../../src/control/control_errors.js';
 import {settings} from '../fixtures.js';
 import {TestServer} from './app.js';
 
