Carry log messages over a stream instead of calls

Cause: each batch of log messages was a tRPC call of its own. The client delays a call by a zero timer, the outbox by a setImmediate, and each call costs a reply, so one replication took more than 4 ms.

Change: each instance subscribes to its peers' log messages with its identity; a sender yields the messages of one turn of the event loop as one frame. Frames are numbered and name incarnations by number after the first use. A missing frame or a refused stream replaces the connection. A new stream ends the peer's earlier connection, which the sending end would otherwise keep until TCP gives up. The encoder copies nothing.

--- a/packages/entry/src/instance_parts.ts
+++ b/packages/entry/src/instance_parts.ts
@@ -3,7 +3,7 @@
 import type {InstanceSettings, InstanceView} from '@mustardferry/model';
 import type {LifecycleManager, Logger, Metrics} from '@mustardferry/runtime';
 
-import {ControlService} from './control/control_service.js';
+import {CONTROL_LOG, ControlService} from './control/control_service.js';
 import {createDispatch, type DispatchParts} from './dispatch/dispatch_parts.js';
 import {OwnerDirectory} from './gateway/owner_directory.js';
 import {GroupService, newIncarnation} from './groups/group_service.js';
@@ -105,6 +105,11 @@
   private createNetwork(): PeerNetwork {
     return new PeerNetwork({
       ...this.options,
+      incarnation: this.incarnation,
+      onLog: ({log, from, message}) => {
+        if (log === CONTROL_LOG) this.control.receive(from, message);
+        else this.groups.receive(log, from, message);
+      },
       status: () => this.status(),
       onStatus: status => {
         this.directory.learn(status.name, status.ownedGroups);
--- a/packages/entry/src/peers/instance_peer_service.ts
+++ b/packages/entry/src/peers/instance_peer_service.ts
@@ -11,17 +11,18 @@
   type ExplainReply,
   type InstanceStatus,
   type JobRequest,
-  type LogEnvelope,
+  type LogOutbox,
   type OwnerReply,
+  type PeerIdentity,
   PeerService,
   type SlotReply,
   type SlotReport,
+  type StreamConnection,
   type SubmitToOwner,
 } from '@mustardferry/links';
 
-import {CONTROL_LOG, type ControlService} from '../control/control_service.js';
+import type {ControlService} from '../control/control_service.js';
 import type {LocalOwners} from '../gateway/local_owners.js';
-import type {GroupService} from '../groups/group_service.js';
 import type {SlotService} from '../slots/slot_service.js';
 import type {UpstreamService} from '../upstreams/upstream_service.js';
 import type {PeerNetwork} from './peer_network.js';
@@ -31,7 +32,6 @@
   readonly status: () => InstanceStatus;
   readonly network: PeerNetwork;
   readonly control: ControlService;
-  readonly groups: GroupService;
   readonly owners: LocalOwners;
   readonly upstreams: UpstreamService;
   readonly slots: SlotService;
@@ -48,12 +48,11 @@
     return this.parts.status();
   }
 
-  override logMessages(messages: readonly LogEnvelope[]): void {
-    const {control, groups} = this.parts;
-    for (const {log, from, message} of messages) {
-      if (log === CONTROL_LOG) control.receive(from, message);
-      else groups.receive(log, from, message);
-    }
+  override logStream(
+    to: PeerIdentity,
+    connection: StreamConnection,
+  ): LogOutbox {
+    return this.parts.network.openStream(to, connection);
   }
 
   override submitJob(req: SubmitToOwner): Promise<OwnerReply> {
--- a/packages/entry/src/peers/peer_network.ts
+++ b/packages/entry/src/peers/peer_network.ts
@@ -1,11 +1,13 @@
-/** Links to all other instances, and batching of log messages. */
+/** Links to all other instances, and the streams of log messages. */
 import {
   type InstanceStatus,
   type LogEnvelope,
+  LogOutbox,
   type PeerClient,
   type PeerIdentity,
   PeerLink,
   PeerUnreachableError,
+  type StreamConnection,
 } from '@mustardferry/links';
 import type {InstanceSettings} from '@mustardferry/model';
 import type {Logger} from '@mustardferry/runtime';
@@ -13,23 +15,23 @@
 /** Options of the network. */
 export interface PeerNetworkOptions {
   readonly settings: InstanceSettings;
+  readonly incarnation: string;
+  /** Called with each log message that arrives. */
+  readonly onLog: (message: LogEnvelope) => void;
   readonly status: () => InstanceStatus;
   readonly onStatus: (status: InstanceStatus) => void;
   readonly onPeerDown: (peer: string) => void;
   readonly logger: Logger;
 }
 
-/** Log messages waiting for one peer; more are dropped, as a network may. */
-const MAX_OUTBOX = 1_000;
 const MESSAGE_TIMEOUT_MS = 2_000;
 const PING_AFTER_MS = 1_000;
 const PONG_TIMEOUT_MS = 1_000;
 
-/** One peer with the messages that wait for it. */
+/** One peer: the link to it, and the stream that it opened from here. */
 class Peer {
   readonly link: PeerLink;
-  outbox: LogEnvelope[] = [];
-  flushing = false;
+  outbox: LogOutbox | undefined;
   status: InstanceStatus | undefined;
 
   constructor(link: PeerLink) {
@@ -46,7 +48,7 @@
 
   /** Opens the links; they reconnect by themselves from then on. */
   open(): void {
-    const {settings} = this.options;
+    const {settings, incarnation} = this.options;
     for (const {name, address} of settings.instances) {
       if (name === settings.name) continue;
       const link = new PeerLink({
@@ -55,6 +57,8 @@
         token: settings.tokens.instances[0],
         pingAfterMs: PING_AFTER_MS,
         pongTimeoutMs: PONG_TIMEOUT_MS,
+        self: {name: settings.name, incarnation},
+        onLog: messages => this.receive(name, messages),
         onUp: () => void this.greet(name),
         onDown: () => this.peerDown(name),
       });
@@ -88,14 +92,20 @@
 
   /** Sends a log message without waiting; it may be lost. */
   sendLog(envelope: LogEnvelope): void {
-    const peer = this.peers.get(envelope.to.name);
-    if (peer === undefined || !peer.link.isUp) return;
-    if (peer.outbox.length >= MAX_OUTBOX) return;
-    peer.outbox.push(envelope);
-    if (peer.flushing) return;
-    peer.flushing = true;
-    // Messages of one turn of the event loop share one frame.
-    setImmediate(() => this.flush(peer));
+    this.peers.get(envelope.to.name)?.outbox?.push(envelope);
+  }
+
+  /** Opens the stream of log messages that a peer receives from here. */
+  openStream(to: PeerIdentity, connection: StreamConnection): LogOutbox {
+    const outbox = new LogOutbox(connection);
+    const peer = this.peers.get(to.name);
+    if (peer === undefined) {
+      outbox.end();
+      return outbox;
+    }
+    peer.outbox?.end();
+    peer.outbox = outbox;
+    return outbox;
   }
 
   /**
@@ -119,17 +129,15 @@
     await Promise.all([...this.peers.values()].map(peer => peer.link.close()));
   }
 
-  private flush(peer: Peer): void {
-    peer.flushing = false;
-    const batch = peer.outbox;
-    peer.outbox = [];
-    void peer.link
-      .call(MESSAGE_TIMEOUT_MS, (client, signal) =>
-        client.logMessages.mutate(batch, {signal}),
-      )
-      .catch((err: unknown) =>
-        this.options.logger.debug('log-messages-lost', {err}),
-      );
+  /** A message that can't be handled must not end the process. */
+  private receive(peer: string, messages: readonly LogEnvelope[]): void {
+    for (const message of messages) {
+      try {
+        this.options.onLog(message);
+      } catch (err) {
+        this.options.logger.error('log-message-failed', {peer, err});
+      }
+    }
   }
 
   private async greet(name: string): Promise<void> {
--- a/packages/links/src/errors.ts
+++ b/packages/links/src/errors.ts
@@ -16,6 +16,11 @@
   readonly code = 'peer-remote-error';
 }
 
+/** The peer sent something that does not follow the protocol. */
+export class PeerProtocolError extends MustardferryError {
+  readonly code = 'peer-protocol';
+}
+
 /** No connection to the upstream could be opened; nothing was sent. */
 export class UpstreamNotReachedError extends MustardferryError {
   readonly code = 'upstream-not-reached';
--- a/packages/links/src/index.ts
+++ b/packages/links/src/index.ts
@@ -1,4 +1,5 @@
 export {
+  PeerProtocolError,
   PeerRemoteError,
   PeerTimeoutError,
   PeerUnreachableError,
@@ -6,6 +7,7 @@
   UpstreamNotReachedError,
   UpstreamProtocolError,
 } from './errors.js';
+export {LogOutbox, type StreamConnection} from './log_outbox.js';
 export {PEER_ENCODER} from './peer_encoder.js';
 export {type PeerClient, PeerLink, type PeerLinkOptions} from './peer_link.js';
 export {
--- a/packages/links/src/peer_encoder.ts
+++ b/packages/links/src/peer_encoder.ts
@@ -9,11 +9,14 @@
  */
 export const PEER_ENCODER = {
   encode(data: unknown): Uint8Array<ArrayBuffer> {
-    return Uint8Array.from(packr.pack(data));
+    // `pack` never reuses the bytes that it returned, so no copy is needed.
+    return packr.pack(data) as Uint8Array<ArrayBuffer>;
   },
   decode(data: string | ArrayBuffer | Uint8Array): unknown {
     if (typeof data === 'string') return JSON.parse(data);
-    return packr.unpack(new Uint8Array(data));
+    return packr.unpack(
+      data instanceof Uint8Array ? data : new Uint8Array(data),
+    );
   },
 };
 
--- a/packages/links/src/peer_link.ts
+++ b/packages/links/src/peer_link.ts
@@ -12,7 +12,9 @@
   PeerTimeoutError,
   PeerUnreachableError,
 } from './errors.js';
+import {LogFrameReader} from './log_frames.js';
 import {PEER_ENCODER, PEER_TRANSFORMER} from './peer_encoder.js';
+import type {LogEnvelope, PeerIdentity} from './peer_messages.js';
 import type {PeerRouter} from './peer_router.js';
 import {PEER_PATH} from './peer_server.js';
 import {peerSocketClass} from './peer_socket.js';
@@ -27,6 +29,10 @@
   readonly pingAfterMs: number;
   /** Time to wait for any message after a ping. */
   readonly pongTimeoutMs: number;
+  /** Identity that the peer addresses log messages to. */
+  readonly self: PeerIdentity;
+  /** Called with the log messages that the peer sends. */
+  readonly onLog: (messages: readonly LogEnvelope[]) => void;
   readonly onUp: (peer: string) => void;
   readonly onDown: (peer: string) => void;
 }
@@ -52,6 +58,7 @@
     this.name = `peer-link ${options.peer}`;
     this.socket = this.createSocket();
     this.client = this.createClient();
+    this.openStream();
   }
 
   /** Whether the connection is open, as far as this end knows. */
@@ -112,9 +119,43 @@
     this.markDown();
     this.socket = this.createSocket();
     this.client = this.createClient();
+    this.openStream();
     this.discard(socket);
   }
 
+  /**
+   * Subscribes to the peer's log messages. The client subscribes again by
+   * itself when its connection reopens.
+   */
+  private openStream(): void {
+    const {peer, self, onLog} = this.options;
+    const {socket} = this;
+    let reader = new LogFrameReader(peer, self.name);
+    this.client.logStream.subscribe(self, {
+      onStarted: () => {
+        reader = new LogFrameReader(peer, self.name);
+      },
+      onData: frame => {
+        let messages: readonly LogEnvelope[];
+        try {
+          messages = reader.read(frame);
+        } catch {
+          // Messages may be lost; a new connection starts a new stream.
+          this.replace(socket);
+          return;
+        }
+        onLog(messages);
+      },
+      onError: () => this.replaceLater(socket),
+      onStopped: () => this.replaceLater(socket),
+    });
+  }
+
+  /** Leaves time between attempts with a peer that refuses the stream. */
+  private replaceLater(socket: ReturnType<typeof createWSClient>): void {
+    setTimeout(() => this.replace(socket), RECONNECT_MAX_MS).unref();
+  }
+
   /** Ends a socket at once; requests pending on it fail. */
   private discard(socket: ReturnType<typeof createWSClient>): void {
     const state = socket.connection;
--- a/packages/links/src/peer_messages.ts
+++ b/packages/links/src/peer_messages.ts
@@ -11,6 +11,8 @@
   Submission,
 } from '@mustardferry/model';
 
+import type {LogOutbox, StreamConnection} from './log_outbox.js';
+
 /** Identity of a member of a replicated log. */
 export interface PeerIdentity {
   readonly name: string;
@@ -145,7 +147,8 @@
 /** Handlers that an instance offers to its peers. */
 export abstract class PeerService {
   abstract hello(status: InstanceStatus): InstanceStatus;
-  abstract logMessages(messages: readonly LogEnvelope[]): void;
+  /** Opens the stream of log messages to a peer that asked for it. */
+  abstract logStream(to: PeerIdentity, connection: StreamConnection): LogOutbox;
   abstract submitJob(req: SubmitToOwner): Promise<OwnerReply>;
   abstract getJob(req: JobRequest): Promise<OwnerReply>;
   abstract cancelJob(req: JobRequest): Promise<OwnerReply>;
--- a/packages/links/src/peer_router.ts
+++ b/packages/links/src/peer_router.ts
@@ -7,7 +7,7 @@
   ControlFetch,
   InstanceStatus,
   JobRequest,
-  LogEnvelope,
+  PeerIdentity,
   PeerService,
   SlotReport,
   SubmitToOwner,
@@ -16,6 +16,10 @@
 /** Context of each call. */
 export interface PeerContext {
   readonly service: PeerService;
+  /** Tells who is at the other end; an older connection of it is ended. */
+  readonly claim: (peer: string) => void;
+  /** Bytes that the connection has not sent yet. */
+  readonly unsentBytes: () => number;
 }
 
 const t = initTRPC.context<PeerContext>().create({
@@ -35,9 +39,20 @@
   hello: t.procedure
     .input(typed<InstanceStatus>())
     .mutation(({ctx, input}) => ctx.service.hello(input)),
-  logMessages: t.procedure
-    .input(typed<readonly LogEnvelope[]>())
-    .mutation(({ctx, input}) => ctx.service.logMessages(input)),
+  /**
+   * Log messages for the caller. A stream carries them because the client
+   * delays each call by a timer and each call costs a reply.
+   */
+  logStream: t.procedure
+    .input(typed<PeerIdentity>())
+    .subscription(({ctx, input, signal}) => {
+      ctx.claim(input.name);
+      const connection = {
+        signal: signal ?? new AbortController().signal,
+        unsentBytes: ctx.unsentBytes,
+      };
+      return ctx.service.logStream(input, connection).frames();
+    }),
   submitJob: t.procedure
     .input(typed<SubmitToOwner>())
     .mutation(({ctx, input}) => ctx.service.submitJob(input)),
--- a/packages/links/src/peer_server.ts
+++ b/packages/links/src/peer_server.ts
@@ -3,7 +3,7 @@
 import type {Duplex} from 'node:stream';
 
 import {getWSConnectionHandler} from '@trpc/server/adapters/ws';
-import {WebSocketServer} from 'ws';
+import {type WebSocket, WebSocketServer} from 'ws';
 
 import {PEER_ENCODER} from './peer_encoder.js';
 import type {PeerService} from './peer_messages.js';
@@ -27,6 +27,7 @@
 export class PeerServer {
   readonly name = 'peer-server';
   private readonly sockets: WebSocketServer;
+  private readonly claims = new Map<string, WebSocket>();
   private readonly onUpgrade: (
     req: IncomingMessage,
     socket: Duplex,
@@ -42,7 +43,11 @@
     const handle = getWSConnectionHandler({
       wss: this.sockets,
       router: peerRouter,
-      createContext: () => ({service: options.service}),
+      createContext: ({res}) => ({
+        service: options.service,
+        claim: peer => this.claim(peer, res),
+        unsentBytes: () => res.bufferedAmount,
+      }),
       experimental_encoder: PEER_ENCODER,
     });
     this.sockets.on('connection', handle);
@@ -57,6 +62,19 @@
     this.sockets.close();
   }
 
+  /**
+   * A peer that opens a stream on a new connection gave up the old one, whose
+   * silence this end may not notice before TCP does.
+   */
+  private claim(peer: string, socket: WebSocket): void {
+    const earlier = this.claims.get(peer);
+    this.claims.set(peer, socket);
+    if (earlier !== undefined && earlier !== socket) earlier.terminate();
+    socket.once('close', () => {
+      if (this.claims.get(peer) === socket) this.claims.delete(peer);
+    });
+  }
+
   private upgrade(req: IncomingMessage, socket: Duplex, head: Buffer): void {
     const path = new URL(req.url ?? '/', 'http://peer').pathname;
     if (path !== PEER_PATH || !this.options.authorize(req)) {
--- a/packages/links/src/peer_socket.ts
+++ b/packages/links/src/peer_socket.ts
@@ -19,7 +19,6 @@
         handshakeTimeout: CONNECT_TIMEOUT_MS,
         perMessageDeflate: false,
       });
-      this.on('open', () => this.socketOf()?.setNoDelay(true));
       // Errors surface as close events; an unhandled one would end the process.
       this.on('error', () => undefined);
     }
@@ -28,10 +27,5 @@
       super.close(code, data);
       setTimeout(() => this.terminate(), CLOSE_HANDSHAKE_MS).unref();
     }
-
-    private socketOf(): {setNoDelay(on: boolean): void} | undefined {
-      return (this as unknown as {_socket?: {setNoDelay(on: boolean): void}})
-        ._socket;
-    }
   } as unknown as typeof WebSocket;
 }
