--- a/packages/links/src/peer_server.ts
+++ b/packages/links/src/peer_server.ts
@@ -81,6 +81,8 @@
   private upgrade(req: IncomingMessage, socket: Duplex, head: Buffer): void {
     const path = new URL(req.url ?? '/', 'http://peer').pathname;
     if (path !== PEER_PATH || !this.options.authorize(req)) {
+      // After the upgrade event nothing else handles a reset by the caller.
+      socket.on('error', () => undefined);
       const status = path === PEER_PATH ? '401 Unauthorized' : '404 Not Found';
       socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\n\r\n`);
       return;
