--- a/packages/entry/src/peers/peer_network.ts
+++ b/packages/entry/src/peers/peer_network.ts
@@ -1,11 +1,14 @@
-/** Links to all other instances, and batching of log messages. */
+/** Links to all other instances, and the streams of log messages. */
 import {
   type InstanceStatus,
+  type LinkTraffic,
   type LogEnvelope,
+  LogOutbox,
   type PeerClient,
   type PeerIdentity,
   PeerLink,
   PeerUnreachableError,
+  type StreamConnection,
 } from '@mustardferry/links';
 import type {InstanceSettings} from '@mustardferry/model';
 import type {Logger} from '@mustardferry/runtime';
@@ -13,23 +16,29 @@
 /** Options of the network. */
 export interface PeerNetworkOptions {
   readonly settings: InstanceSettings;
+  readonly incarnation: string;
+  readonly traffic: LinkTraffic;
+  /** Called with each log message that arrives. */
+  readonly onLog: (message: LogEnvelope) => void;
   readonly status: () => InstanceStatus;
   readonly onStatus: (status: InstanceStatus) => void;
+  /** Called when the link to a peer opened and it sent its status. */
+  readonly onPeerUp: (peer: string) => void;
   readonly onPeerDown: (peer: string) => void;
   readonly logger: Logger;
 }
 
-/** Log messages waiting for one peer; more are dropped, as a network may. */
-const MAX_OUTBOX = 1_000;
 const MESSAGE_TIMEOUT_MS = 2_000;
-const PING_AFTER_MS = 1_000;
-const PONG_TIMEOUT_MS = 1_000;
+/** Together below the 2 s in which a silent connection is to be replaced. */
+const PING_AFTER_MS = 900;
+const PONG_TIMEOUT_MS = 700;
+/** Repeats the status although a change of it can't be lost unnoticed. */
+const STATUS_REPEAT_MS = 60_000;
 
-/** One peer with the messages that wait for it. */
+/** One peer: the link to it, and the stream that it opened from here. */
 class Peer {
   readonly link: PeerLink;
-  outbox: LogEnvelope[] = [];
-  flushing = false;
+  outbox: LogOutbox | undefined;
   status: InstanceStatus | undefined;
 
   constructor(link: PeerLink) {
@@ -41,21 +50,27 @@
 export class PeerNetwork {
   readonly name = 'peer-network';
   private readonly peers = new Map<string, Peer>();
+  private sentStatus = '';
+  private sentRevision = 0;
+  private sentAtMs = 0;
 
   constructor(private readonly options: PeerNetworkOptions) {}
 
   /** Opens the links; they reconnect by themselves from then on. */
   open(): void {
-    const {settings} = this.options;
+    const {settings, incarnation} = this.options;
     for (const {name, address} of settings.instances) {
       if (name === settings.name) continue;
       const link = new PeerLink({
         peer: name,
         address,
         token: settings.tokens.instances[0],
+        traffic: this.options.traffic,
         pingAfterMs: PING_AFTER_MS,
         pongTimeoutMs: PONG_TIMEOUT_MS,
-        onUp: () => void this.greet(name),
+        self: {name: settings.name, incarnation},
+        onLog: messages => this.receive(name, messages),
+        onUp: () => void this.peerUp(name),
         onDown: () => this.peerDown(name),
       });
       this.peers.set(name, new Peer(link));
@@ -79,8 +94,29 @@
     this.options.onStatus(status);
   }
 
-  /** Tells all peers that this instance's status changed. */
+  /**
+   * Tells all peers what changed in this instance's status. The revision alone
+   * isn't worth a message for each configuration change.
+   */
   broadcastStatus(): void {
+    this.broadcastIfNew(this.options.status());
+  }
+
+  /** Sends a changed revision, and sometimes an unchanged status. */
+  refreshStatus(): void {
+    const status = this.options.status();
+    const overdue = performance.now() - this.sentAtMs >= STATUS_REPEAT_MS;
+    const isNew = status.policyRevision !== this.sentRevision;
+    if (overdue || isNew) this.sentStatus = '';
+    this.broadcastIfNew(status);
+  }
+
+  private broadcastIfNew(status: InstanceStatus): void {
+    const text = JSON.stringify({...status, policyRevision: 0});
+    if (text === this.sentStatus) return;
+    this.sentStatus = text;
+    this.sentRevision = status.policyRevision;
+    this.sentAtMs = performance.now();
     for (const [name, peer] of this.peers) {
       if (peer.link.isUp) void this.greet(name);
     }
@@ -88,14 +124,20 @@
 
   /** Sends a log message without waiting; it may be lost. */
   sendLog(envelope: LogEnvelope): void {
-    const peer = this.peers.get(envelope.to.name);
-    if (peer === undefined || !peer.link.isUp) return;
-    if (peer.outbox.length >= MAX_OUTBOX) return;
-    peer.outbox.push(envelope);
-    if (peer.flushing) return;
-    peer.flushing = true;
-    // Messages of one turn of the event loop share one frame.
-    setImmediate(() => this.flush(peer));
+    this.peers.get(envelope.to.name)?.outbox?.push(envelope);
+  }
+
+  /** Opens the stream of log messages that a peer receives from here. */
+  openStream(to: PeerIdentity, connection: StreamConnection): LogOutbox {
+    const outbox = new LogOutbox(connection);
+    const peer = this.peers.get(to.name);
+    if (peer === undefined) {
+      outbox.end();
+      return outbox;
+    }
+    peer.outbox?.end();
+    peer.outbox = outbox;
+    return outbox;
   }
 
   /**
@@ -119,27 +161,32 @@
     await Promise.all([...this.peers.values()].map(peer => peer.link.close()));
   }
 
-  private flush(peer: Peer): void {
-    peer.flushing = false;
-    const batch = peer.outbox;
-    peer.outbox = [];
-    void peer.link
-      .call(MESSAGE_TIMEOUT_MS, (client, signal) =>
-        client.logMessages.mutate(batch, {signal}),
-      )
-      .catch((err: unknown) =>
-        this.options.logger.debug('log-messages-lost', {err}),
-      );
+  /** A message that can't be handled must not end the process. */
+  private receive(peer: string, messages: readonly LogEnvelope[]): void {
+    for (const message of messages) {
+      try {
+        this.options.onLog(message);
+      } catch (err) {
+        this.options.logger.error('log-message-failed', {peer, err});
+      }
+    }
+  }
+
+  private async peerUp(name: string): Promise<void> {
+    if (await this.greet(name)) this.options.onPeerUp(name);
   }
 
-  private async greet(name: string): Promise<void> {
+  /** Exchanges statuses; false when the peer did not answer. */
+  private async greet(name: string): Promise<boolean> {
     try {
       const status = await this.call(name, MESSAGE_TIMEOUT_MS, client =>
         client.hello.mutate(this.options.status()),
       );
       this.noteStatus(status);
+      return true;
     } catch (err) {
       this.options.logger.debug('greeting-failed', {peer: name, err});
+      return false;
     }
   }
 
--- a/packages/links/src/index.ts
+++ b/packages/links/src/index.ts
@@ -1,4 +1,5 @@
 export {
+  PeerProtocolError,
   PeerRemoteError,
   PeerTimeoutError,
   PeerUnreachableError,
@@ -6,6 +7,8 @@
   UpstreamNotReachedError,
   UpstreamProtocolError,
 } from './errors.js';
+export {type LinkBytes, LinkTraffic} from './link_traffic.js';
+export {LogOutbox, type StreamConnection} from './log_outbox.js';
 export {PEER_ENCODER} from './peer_encoder.js';
 export {type PeerClient, PeerLink, type PeerLinkOptions} from './peer_link.js';
 export {
--- a/packages/links/src/peer_messages.ts
+++ b/packages/links/src/peer_messages.ts
@@ -11,6 +11,8 @@
   Submission,
 } from '@mustardferry/model';
 
+import type {LogOutbox, StreamConnection} from './log_outbox.js';
+
 /** Identity of a member of a replicated log. */
 export interface PeerIdentity {
   readonly name: string;
@@ -94,7 +96,12 @@
     readonly team: string;
     readonly demand: Resources;
   }[];
-  /** Credits held, by upstream key. */
+  /**
+   * Sequence of the report that the allocator answered last, which `held`
+   * continues; 0 when `held` lists everything.
+   */
+  readonly heldSince: number;
+  /** Credits held, by upstream key; those that changed since `heldSince`. */
   readonly held: readonly {
     readonly worker: string;
     readonly credits: number;
@@ -110,6 +117,8 @@
 export interface SlotReply {
   readonly sequence: number;
   readonly allocator: string;
+  /** The report was not used: its `heldSince` is unknown here. */
+  readonly needsFull?: true;
   readonly grants: readonly {
     readonly worker: string;
     readonly credits: number;
@@ -147,7 +156,8 @@
 /** Handlers that an instance offers to its peers. */
 export abstract class PeerService {
   abstract hello(status: InstanceStatus): InstanceStatus;
-  abstract logMessages(messages: readonly LogEnvelope[]): void;
+  /** Opens the stream of log messages to a peer that asked for it. */
+  abstract logStream(to: PeerIdentity, connection: StreamConnection): LogOutbox;
   abstract submitJob(req: SubmitToOwner): Promise<OwnerReply>;
   abstract getJob(req: JobRequest): Promise<OwnerReply>;
   abstract cancelJob(req: JobRequest): Promise<OwnerReply>;
--- a/packages/links/src/peer_server.ts
+++ b/packages/links/src/peer_server.ts
@@ -3,8 +3,9 @@
 import type {Duplex} from 'node:stream';
 
 import {getWSConnectionHandler} from '@trpc/server/adapters/ws';
-import {WebSocketServer} from 'ws';
+import {type WebSocket, WebSocketServer} from 'ws';
 
+import type {LinkTraffic} from './link_traffic.js';
 import {PEER_ENCODER} from './peer_encoder.js';
 import type {PeerService} from './peer_messages.js';
 import {peerRouter} from './peer_router.js';
@@ -19,6 +20,8 @@
 export interface PeerServerOptions {
   readonly server: Server;
   readonly service: PeerService;
+  /** Counts the bytes of the connections; none by default. */
+  readonly traffic?: LinkTraffic;
   /** Whether the upgrade request carries a valid instance token. */
   readonly authorize: (req: IncomingMessage) => boolean;
 }
@@ -27,6 +30,7 @@
 export class PeerServer {
   readonly name = 'peer-server';
   private readonly sockets: WebSocketServer;
+  private readonly claims = new Map<string, WebSocket>();
   private readonly onUpgrade: (
     req: IncomingMessage,
     socket: Duplex,
@@ -42,7 +46,11 @@
     const handle = getWSConnectionHandler({
       wss: this.sockets,
       router: peerRouter,
-      createContext: () => ({service: options.service}),
+      createContext: ({res}) => ({
+        service: options.service,
+        claim: peer => this.claim(peer, res),
+        unsentBytes: () => res.bufferedAmount,
+      }),
       experimental_encoder: PEER_ENCODER,
     });
     this.sockets.on('connection', handle);
@@ -57,13 +65,29 @@
     this.sockets.close();
   }
 
+  /**
+   * A peer that opens a stream on a new connection gave up the old one, whose
+   * silence this end may not notice before TCP does.
+   */
+  private claim(peer: string, socket: WebSocket): void {
+    const earlier = this.claims.get(peer);
+    this.claims.set(peer, socket);
+    if (earlier !== undefined && earlier !== socket) earlier.terminate();
+    socket.once('close', () => {
+      if (this.claims.get(peer) === socket) this.claims.delete(peer);
+    });
+  }
+
   private upgrade(req: IncomingMessage, socket: Duplex, head: Buffer): void {
     const path = new URL(req.url ?? '/', 'http://peer').pathname;
     if (path !== PEER_PATH || !this.options.authorize(req)) {
+      // After the upgrade event nothing else handles a reset by the caller.
+      socket.on('error', () => undefined);
       const status = path === PEER_PATH ? '401 Unauthorized' : '404 Not Found';
       socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\n\r\n`);
       return;
     }
+    this.options.traffic?.add(req.socket);
     this.sockets.handleUpgrade(req, socket, head, client => {
       this.sockets.emit('connection', client, req);
     });
