--- a/tests/named_parts.test.ts
+++ b/tests/named_parts.test.ts
@@ -73,6 +73,38 @@
   });
 });
 
+describe('pages of public parts', () => {
+  const parts = [
+    'bench',
+    'control-state',
+    'decisions',
+    'entry-instance',
+    'peer-link',
+    'replicated-log',
+    'runtime',
+    'storage',
+    'submission-records',
+    'upstream-link',
+    'upstream-registry',
+  ];
+  const headings = [
+    'What it does',
+    'Example',
+    'Options',
+    'Errors',
+    'When not to use it',
+  ];
+  for (const part of parts) {
+    it(`${part}.md has the common headings in their order`, () => {
+      const found = [...read(`docs/${part}.md`).matchAll(/^## (.+)$/gm)];
+      const common = found
+        .map(match => match[1] ?? '')
+        .filter(heading => headings.includes(heading));
+      expect(common).to.deep.equal(headings);
+    });
+  }
+});
+
 describe('packages of section 4.4 of the design page', () => {
   const section =
     read('docs/design.md').split('### 4.4')[1]?.split('### 4.5')[0] ?? '';
