--- a/packages/verification/tests/checks.test.ts
+++ b/packages/verification/tests/checks.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 
-import {type CheckPart,CHECKS} from '../src/checks.js';
+import {type CheckPart, CHECKS} from '../src/checks.js';
 import {type Fault, FAULTS} from '../src/faults.js';
 
 /** Steps left out here; `npm run check:model` explores all of them. */
