End planned stops under load; place leaders away from stopping instances

Cause: requests kept arriving on open connections, so a stopping instance was never idle, and other members handed groups back to it as their preferred leader. Change: after the balancer's notice the instance accepts no connection and ends each with its next response; leaders move only to instances that are reachable and not shutting down.

--- a/packages/entry/src/groups/group_service.ts
+++ b/packages/entry/src/groups/group_service.ts
@@ -106,9 +106,7 @@
 
   /** Hands all owned groups to other voters. */
   handOver(): void {
-    for (const group of this.groups.values()) {
-      if (group.leads) group.handOver();
-    }
+    for (const group of this.groups.values()) group.handOver();
   }
 
   /** Compares what the control state says with what runs here. */
--- a/packages/entry/src/groups/record_group.ts
+++ b/packages/entry/src/groups/record_group.ts
@@ -17,6 +17,7 @@
 import type {PeerNetwork} from '../peers/peer_network.js';
 import type {GroupStorage} from '../storage/instance_storage.js';
 import type {GroupDefinition} from './group_members.js';
+import {betterLeader, successorOf} from './leader_placement.js';
 
 /** What an owner needs besides its group. */
 export type OwnerContext = Pick<
@@ -41,7 +42,7 @@
 
 const EXPIRY_PERIOD_MS = 10_000;
 const LEASE_CHECK_MS = 20;
-const HAND_BACK_PERIOD_MS = 500;
+const PLACEMENT_PERIOD_MS = 1_000;
 const CLEAN_UP_PERIOD_MS = 10_000;
 
 /** One replicated log of submission records, and its owner while leading. */
@@ -53,8 +54,15 @@
   private readonly timers: NodeJS.Timeout[] = [];
   private leaseCheckedAt = 0;
   private leaseHeld = false;
+  private stopping = false;
   private lastLeaderAt = Date.now();
 
+  /** Whether an instance is reachable and not shutting down. */
+  private readonly canLead = (name: string): boolean => {
+    const {network} = this.options;
+    return network.isUp(name) && network.statusOf(name)?.draining === false;
+  };
+
   constructor(private readonly options: RecordGroupOptions) {
     this.name = options.definition.name;
   }
@@ -89,7 +97,7 @@
 
   async open(): Promise<void> {
     const {options} = this;
-    const {definition, self, network, logger} = options;
+    const {self, network, logger} = options;
     this.log = await ReplicatedLog.open({
       self,
       voters: options.generation.voters.map((voter: GrantedVoter) => voter),
@@ -99,13 +107,12 @@
       machine: this.state,
       heartbeatMs: options.heartbeatMs,
       electionTimeoutMs: options.electionTimeoutMs,
-      preferredLeader: definition.preferredLeader,
       onFailure: err =>
         logger.error('record-group-failed', {group: this.name, err}),
     });
     this.log.onLeadership(({leader, term}) => this.leadership(leader, term));
     this.every(EXPIRY_PERIOD_MS, () => this.expire());
-    this.every(HAND_BACK_PERIOD_MS, () => this.handBack());
+    this.every(PLACEMENT_PERIOD_MS, () => this.placeLeader());
     this.every(CLEAN_UP_PERIOD_MS, () => this.dropEarlierLives());
   }
 
@@ -131,7 +138,12 @@
 
   /** Gives the leadership to another voter before a planned stop. */
   handOver(): void {
-    this.log?.transferLeadership();
+    this.stopping = true;
+    if (!this.leads) return;
+    const {definition, self} = this.options;
+    const voters = this.log?.status().voters ?? [];
+    const to = successorOf(self.name, definition, voters, this.canLead);
+    if (to !== undefined) this.log?.transferLeadership(to);
   }
 
   /** Whether this instance still leads. */
@@ -247,20 +259,13 @@
       .catch(() => undefined);
   }
 
-  /** A lent voter that had to lead returns the group to its data centre. */
-  private handBack(): void {
-    const {definition, dataCentre, network} = this.options;
-    if (!this.leads || definition.dataCentre === dataCentre) return;
-    const status = this.log?.status();
-    const local = status?.voters.find(voter =>
-      definition.members.some(
-        member =>
-          member.name === voter.name &&
-          member.dataCentre === definition.dataCentre &&
-          network.isUp(member.name),
-      ),
-    );
-    if (local !== undefined) this.log?.transferLeadership(local);
+  /** Moves the leadership to where it should be, unless that shuts down. */
+  private placeLeader(): void {
+    if (!this.leads || this.stopping) return;
+    const {definition, self} = this.options;
+    const voters = this.log?.status().voters ?? [];
+    const to = betterLeader(self.name, definition, voters, this.canLead);
+    if (to !== undefined) this.log?.transferLeadership(to);
   }
 
   private every(periodMs: number, run: () => void): void {
--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -1,4 +1,6 @@
 /** One entry instance: its HTTP listener, start and graceful shutdown. */
+import {Server as NetServer} from 'node:net';
+
 import {PeerServer} from '@mustardferry/links';
 import type {InstanceSettings} from '@mustardferry/model';
 import {
@@ -45,6 +47,7 @@
   private readonly app: FastifyInstance;
   private listening = false;
   private draining = false;
+  private refusing = false;
   private openRequests = 0;
 
   private constructor(options: EntryInstanceOptions, storage: InstanceStorage) {
@@ -113,6 +116,7 @@
     while (Date.now() - startedAt < this.settings.drainTimeoutMs) {
       this.parts.groups.handOver();
       const noticed = Date.now() - startedAt >= BALANCER_NOTICE_MS;
+      if (noticed) this.refuseConnections();
       if (noticed && this.isIdle) break;
       await new Promise(resolve => setTimeout(resolve, DRAIN_CHECK_MS));
     }
@@ -120,6 +124,16 @@
     this.logger.info('drained');
   }
 
+  /**
+   * Accepts no more connections and ends each one with its next response, so
+   * that clients move to other instances and no request is cut.
+   */
+  private refuseConnections(): void {
+    if (this.refusing) return;
+    this.refusing = true;
+    NetServer.prototype.close.call(this.app.server);
+  }
+
   private get isIdle(): boolean {
     return (
       this.openRequests === 0 &&
@@ -173,6 +187,9 @@
     this.app.addHook('onRequest', async () => {
       this.openRequests += 1;
     });
+    this.app.addHook('onSend', async (_req, res) => {
+      if (this.refusing) void res.header('connection', 'close');
+    });
     this.app.addHook('onResponse', async () => {
       this.openRequests -= 1;
     });
