Let a stopping instance end while released tasks still run

Cause: tasks left running for the next owner counted as open, so a stop took up to the drain timeout and kept its slot credits; a result that came during a short loss of the lease was dropped.

--- a/packages/entry/src/dispatch/attempt_follower.ts
+++ b/packages/entry/src/dispatch/attempt_follower.ts
@@ -119,7 +119,7 @@
     if (outcome.type === 'not-started' || outcome.type === 'refused') {
       job.noteNotStarted();
     }
-    if (entry.place === 'ended' || job.settled || !owner.active) {
+    if (entry.place === 'ended' || job.settled) {
       if (entry.running.size === 0) this.options.drop(entry);
       return;
     }
--- a/packages/entry/src/dispatch/dispatcher.ts
+++ b/packages/entry/src/dispatch/dispatcher.ts
@@ -88,6 +88,11 @@
     return this.tasks.size;
   }
 
+  /** Open tasks that this instance answers for; others were handed over. */
+  get ownTasks(): number {
+    return this.tasks.unended;
+  }
+
   override admit(req: AdmissionRequest): Promise<AdmissionVerdict> {
     return this.options.admission.decide(req);
   }
--- a/packages/entry/src/dispatch/task_table.ts
+++ b/packages/entry/src/dispatch/task_table.ts
@@ -30,6 +30,15 @@
     return this.entries.size;
   }
 
+  /** Tasks without those whose job was released, cancelled or answered. */
+  get unended(): number {
+    let count = 0;
+    for (const {place} of this.entries.values()) {
+      if (place !== 'ended') count += 1;
+    }
+    return count;
+  }
+
   get(taskId: string): TaskEntry | undefined {
     return this.entries.get(taskId);
   }
--- a/packages/entry/src/groups/group_service.ts
+++ b/packages/entry/src/groups/group_service.ts
@@ -167,7 +167,7 @@
       if (!this.isMember(definition)) continue;
       await this.reconcileGroup(definition).catch((err: unknown) => {
         const {name: group} = definition;
-        this.options.logger.warn('group-reconcile-failed', {group, err});
+        this.options.logger.warn('group-join-failed', {group, err});
       });
     }
     for (const instance of control.state.instances()) {
--- a/packages/entry/src/groups/leader_placement.ts
+++ b/packages/entry/src/groups/leader_placement.ts
@@ -3,8 +3,11 @@
 
 import type {GroupDefinition} from './group_members.js';
 
-/** Whether the instance of a voter is reachable and not shutting down. */
-export type CanLead = (name: string) => boolean;
+/**
+ * Whether this incarnation of a voter is reachable and not shutting down. A
+ * transfer to a former incarnation fails and costs the leader its lease.
+ */
+export type CanLead = (voter: MemberId) => boolean;
 
 /**
  * Voter that a leader hands the group to, or undefined to keep it. The
@@ -18,7 +21,7 @@
   canLead: CanLead,
 ): MemberId | undefined {
   const locals = localVoters(definition, voters).filter(
-    ({name}) => name !== self && canLead(name),
+    voter => voter.name !== self && canLead(voter),
   );
   const preferred = locals.find(
     ({name}) => name === definition.preferredLeader,
@@ -37,7 +40,7 @@
   voters: readonly MemberId[],
   canLead: CanLead,
 ): MemberId | undefined {
-  const others = voters.filter(({name}) => name !== self && canLead(name));
+  const others = voters.filter(voter => voter.name !== self && canLead(voter));
   const locals = localVoters(definition, others);
   return locals[0] ?? others[0];
 }
--- a/packages/entry/src/groups/record_group.ts
+++ b/packages/entry/src/groups/record_group.ts
@@ -55,12 +55,19 @@
   private leaseCheckedAt = 0;
   private leaseHeld = false;
   private stopping = false;
+  /** Consecutive placement checks that found a leader without a lease. */
+  private withoutLease = 0;
   private lastLeaderAt = Date.now();
 
-  /** Whether an instance is reachable and not shutting down. */
-  private readonly canLead = (name: string): boolean => {
+  /** Whether this incarnation is reachable and not shutting down. */
+  private readonly canLead = ({name, incarnation}: MemberId): boolean => {
     const {network} = this.options;
-    return network.isUp(name) && network.statusOf(name)?.draining === false;
+    const status = network.statusOf(name);
+    return (
+      network.isUp(name) &&
+      status?.draining === false &&
+      status.incarnation === incarnation
+    );
   };
 
   constructor(private readonly options: RecordGroupOptions) {
@@ -266,6 +273,23 @@
     const voters = this.log?.status().voters ?? [];
     const to = betterLeader(self.name, definition, voters, this.canLead);
     if (to !== undefined) this.log?.transferLeadership(to);
+    else this.renewLease();
+  }
+
+  /**
+   * A transfer that failed ends the lease for the rest of the term, and no task
+   * is started without it. An election opens a term with a lease.
+   */
+  private renewLease(): void {
+    const {leaseMs = 0} = this.log?.status() ?? {};
+    this.withoutLease = leaseMs > 0 ? 0 : this.withoutLease + 1;
+    if (this.withoutLease < 2) return;
+    this.withoutLease = 0;
+    const {definition, self, logger} = this.options;
+    const voters = this.log?.status().voters ?? [];
+    const to = successorOf(self.name, definition, voters, this.canLead);
+    logger.warn('group-lease-lost', {group: this.name, successor: to?.name});
+    if (to !== undefined) this.log?.transferLeadership(to);
   }
 
   private every(periodMs: number, run: () => void): void {
--- a/packages/entry/tests/groups/leader_placement.test.ts
+++ b/packages/entry/tests/groups/leader_placement.test.ts
@@ -56,7 +56,8 @@
   ];
   for (const {name, self, able, better, successor} of cases) {
     it(name, () => {
-      const canLead = (each: string): boolean => able.includes(each);
+      const canLead = (each: {readonly name: string}): boolean =>
+        able.includes(each.name);
       const args = [self, DEFINITION, VOTERS, canLead] as const;
       expect(betterLeader(...args)?.name).to.equal(better);
       expect(successorOf(...args)?.name).to.equal(successor);
