Wait for faster upstreams only for a large gain; weigh second copies

Cause: tasks waited while slow upstreams idled, and long tasks were copied as if their upstream were slow. Change: a wait must promise 60% of the run time; a copy counts as a fresh run only as far as the upstream's other tasks are late too.

--- a/packages/decisions/src/retries/hedging.ts
+++ b/packages/decisions/src/retries/hedging.ts
@@ -16,6 +16,11 @@
   /** Free upstream for the copy; absent when there is none. */
   readonly alternative?: string;
   readonly copies: number;
+  /**
+   * Part of the upstream's other running tasks that are late, 0 to 1: how far
+   * the delay is the upstream's and not the task's. Default 1.
+   */
+  readonly lateFraction?: number;
   /** Milliseconds that one wasted message must save, from the team's policy. */
   readonly wastedMessageCostMs: number;
 }
@@ -89,12 +94,20 @@
     return Math.max(p95Ms, p50Ms + question.wastedMessageCostMs);
   }
 
+  /**
+   * Expected milliseconds that a copy saves. When the upstream is slow the copy
+   * runs like any other task. Otherwise the task itself is long, and the copy
+   * has to do all of it again, only on an upstream of another speed.
+   */
   private gainMs(question: HedgeQuestion, alternative: string): number {
-    const {team, kind, elapsedMs} = question;
+    const {team, kind, elapsedMs, lateFraction = 1} = question;
     const sigma = this.estimator.spread(team, kind);
     const own = this.estimator.estimate(question);
     const other = this.estimator.estimate({...question, upstream: alternative});
     const remaining = expectedRemainingMs(own.p50Ms, sigma, elapsedMs);
-    return remaining - expectedRemainingMs(other.p50Ms, sigma, 0);
+    const afreshMs = expectedRemainingMs(other.p50Ms, sigma, 0);
+    const wholeMs = ((elapsedMs + remaining) * other.p50Ms) / own.p50Ms;
+    const copyMs = lateFraction * afreshMs + (1 - lateFraction) * wholeMs;
+    return remaining - copyMs;
   }
 }
--- a/packages/decisions/src/routing/expected_end_routing.ts
+++ b/packages/decisions/src/routing/expected_end_routing.ts
@@ -53,7 +53,7 @@
     options: ExpectedEndRoutingOptions = {},
   ) {
     super();
-    this.minWaitGain = options.minWaitGain ?? 0.2;
+    this.minWaitGain = options.minWaitGain ?? 0.6;
     this.maxExplorations = options.maxExplorations ?? 1;
   }
 
--- a/packages/decisions/tests/retries/hedging.test.ts
+++ b/packages/decisions/tests/retries/hedging.test.ts
@@ -45,6 +45,11 @@
 describe('ExpectedGainHedging', () => {
   for (const [title, part, reason] of [
     ['copies a straggler', {}, 'hedge-gain'],
+    [
+      'copies no task that is long on a healthy upstream',
+      {lateFraction: 0},
+      'hedge-gain-too-small',
+    ],
     [
       'never copies a kind that never repeats',
       {repeatable: false},
--- a/packages/decisions/tests/routing/expected_end_routing.test.ts
+++ b/packages/decisions/tests/routing/expected_end_routing.test.ts
@@ -36,7 +36,8 @@
   }
   for (const key of Object.keys(runMs))
     candidates.setSpeed(key, estimator.speedFactor(key), 300);
-  return {candidates, routing: new ExpectedEndRouting(estimator)};
+  const options = {minWaitGain: 0.2};
+  return {candidates, routing: new ExpectedEndRouting(estimator, options)};
 }
 
 describe('ExpectedEndRouting', () => {
--- a/packages/entry/src/dispatch/hedger.ts
+++ b/packages/entry/src/dispatch/hedger.ts
@@ -1,14 +1,20 @@
 /** Sends second copies of slow tasks where the policy finds it worth it. */
-import type {HedgingPolicy, RoutingPolicy} from '@mustardferry/decisions';
+import type {
+  HedgingPolicy,
+  RoutingPolicy,
+  RunTimeEstimator,
+} from '@mustardferry/decisions';
 import type {Metrics} from '@mustardferry/runtime';
 
 import type {UpstreamPool} from '../upstreams/upstream_pool.js';
+import {LateAttempts} from './late_attempts.js';
 import type {RunningAttempt, TaskEntry} from './task_entry.js';
 
 /** Options of the hedger. */
 export interface HedgerOptions {
   readonly hedging: HedgingPolicy;
   readonly routing: RoutingPolicy;
+  readonly estimator: RunTimeEstimator;
   readonly pool: UpstreamPool;
   readonly metrics: Metrics;
   /** Starts a further attempt on the given upstream. */
@@ -28,11 +34,16 @@
 
 /** Watches running attempts of repeatable kinds. */
 export class Hedger {
-  constructor(private readonly options: HedgerOptions) {}
+  private readonly late: LateAttempts;
+
+  constructor(private readonly options: HedgerOptions) {
+    this.late = new LateAttempts(options.estimator);
+  }
 
   /** Schedules the first check of an attempt that was just sent. */
   watch(entry: TaskEntry, attempt: RunningAttempt): void {
     const {job} = entry.task;
+    this.late.add(entry, attempt);
     if (!job.kind.repeatable || entry.running.size > 1) return;
     const firstMs = this.options.hedging.firstCheckMs(
       this.question(entry, attempt),
@@ -65,6 +76,7 @@
     const decision = this.options.hedging.decide({
       ...this.question(entry, attempt),
       elapsedMs,
+      lateFraction: this.late.fraction(attempt, now),
       ...(routed === undefined ? {} : {alternative: routed.upstream}),
     });
     if (!decision.hedge || routed === undefined) {
