--- a/packages/coordination/src/control/group_formation.ts
+++ b/packages/coordination/src/control/group_formation.ts
@@ -83,6 +83,10 @@
   return {...view, abandonedBy: [...others, promise]};
 }
 
+/**
+ * Voter that a neighbour lends: from the nearest data centre that has an
+ * instance with a disk, else from the next one.
+ */
 function neighbourVoter(
   instances: readonly InstanceAddress[],
   dataCentres: readonly string[],
@@ -90,21 +94,22 @@
   group: number,
 ): readonly string[] {
   const at = dataCentres.indexOf(dataCentre);
-  const neighbour = dataCentres[(at + 1) % dataCentres.length];
-  if (neighbour === undefined || neighbour === dataCentre) return [];
-  const there = instances.filter(other => other.dataCentre === neighbour);
-  const withDisk = there.filter(other => other.disk);
-  const pool = (withDisk.length > 0 ? withDisk : there)
-    .map(other => other.name)
-    .sort();
+  const ring = [...dataCentres.slice(at + 1), ...dataCentres.slice(0, at)];
+  const pools = ring.map(name =>
+    instances.filter(other => other.dataCentre === name),
+  );
+  const withDisk = pools
+    .map(there => there.filter(other => other.disk))
+    .find(there => there.length > 0);
+  const pool = (withDisk ?? pools[0] ?? []).map(other => other.name).sort();
   const chosen = pool[group % pool.length];
   return chosen === undefined ? [] : [chosen];
 }
 
 /**
  * Derives the voter names of all record groups: the instances of the data
- * centre, plus one of the next data centre (by name, circular; with a disk
- * where one has) when their count is even or none has a disk.
+ * centre, plus one of a neighbour (by name, circular; with a disk where one
+ * has) when their count is even or none has a disk.
  */
 export function recordGroupDefinitions(
   settings: Pick<InstanceSettings, 'instances' | 'recordGroups'>,
--- a/packages/entry/src/slots/slot_service.ts
+++ b/packages/entry/src/slots/slot_service.ts
@@ -181,7 +181,6 @@
         teams,
         heldSince: this.confirmedSequence,
         held: this.heldChanges(),
-        speeds: [],
       });
       const used =
         reply?.sequence === this.sequence && reply.needsFull === undefined;
--- a/packages/links/src/peer_messages.ts
+++ b/packages/links/src/peer_messages.ts
@@ -106,11 +106,6 @@
     readonly worker: string;
     readonly credits: number;
   }[];
-  /** Learned time factors by upstream key, for those with enough runs. */
-  readonly speeds: readonly {
-    readonly worker: string;
-    readonly factor: number;
-  }[];
 }
 
 /** What the allocator grants to and asks back from the reporting instance. */
