--- a/eslint.config.js
+++ b/eslint.config.js
@@ -13,6 +13,7 @@
   'storage',
   'coordination',
   'links',
+  'dispatch',
   'entry',
   'cli',
   'verification',
@@ -41,7 +42,15 @@
 }));
 
 export default tseslint.config(
-  {ignores: ['**/dist/**', '**/build/**', '**/out/**', 'node_modules/**']},
+  {
+    ignores: [
+      '**/dist/**',
+      'target/**',
+      '**/build/**',
+      '**/out/**',
+      'node_modules/**',
+    ],
+  },
   js.configs.recommended,
   ...tseslint.configs.recommended,
   prettierConfig,
@@ -66,7 +75,7 @@
     },
   },
   {
-    files: ['packages/*/src/**/*.ts'],
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
     rules: {
       'max-lines-per-function': [
         'error',
--- a/packages/coordination/src/storage_adapter/disk_log_storage.ts
+++ b/packages/coordination/src/storage_adapter/disk_log_storage.ts
@@ -95,6 +95,11 @@
     return this.journal.tornTail;
   }
 
+  /** Whether anything was stored at `open`; false after `load`. */
+  get hasContent(): boolean {
+    return this.recovered !== null;
+  }
+
   /** What was stored at `open`; to be called once, before any change. */
   async load(): Promise<StoredLogContent<C> | null> {
     const content = this.recovered;
--- /dev/null
+++ b/packages/dispatch/src/index.ts
@@ -0,0 +1,53 @@
+export {
+  type CallOutcome,
+  LeaderClient,
+  type LeaderClientOptions,
+} from './instance/leader_client.js';
+export {Member, type MemberOptions} from './instance/member.js';
+export {PauseDetector} from './instance/pause_detector.js';
+export type {
+  Command,
+  CommandResult,
+  CountedEnd,
+  JobRecord,
+  UpstreamEntry,
+} from './jobs/commands.js';
+export {
+  type Configuration,
+  type QueueConfig,
+  QueueTable,
+} from './jobs/configuration.js';
+export {DispatchState} from './jobs/dispatch_state.js';
+export {
+  type AdmittedJob,
+  type JobRequest,
+  type JobState,
+  queueKey,
+  type RunOutcome,
+  type Step,
+  type TaskId,
+  taskKey,
+} from './jobs/job_types.js';
+export type {Call, GroupView, Reply, SubmitRefusal} from './messages/calls.js';
+export type {Hello, PeerMessage} from './messages/peer_messages.js';
+export {
+  type ActiveRun,
+  type HoldAnswer,
+  type HoldOrder,
+  OrderNotSentError,
+  OrderUnansweredError,
+  type RunEnd,
+  type StartAnswer,
+  type StartOrder,
+  type StartRefusal,
+  type StopAnswer,
+  type StopOrder,
+  UpstreamPort,
+  type UpstreamTarget,
+} from './upstreams/upstream_port.js';
+export {
+  type Announcement,
+  lifeKey,
+  type UpstreamLife,
+  type UpstreamRecord,
+} from './upstreams/upstream_types.js';
--- /dev/null
+++ b/packages/dispatch/src/instance/leader_client.ts
@@ -0,0 +1,233 @@
+/** Finds the leader among the members, and carries calls to it. */
+import {FrameLink} from '@mustardferry/links';
+import type {Logger} from '@mustardferry/runtime';
+
+import type {Call, GroupView, Reply} from '../messages/calls.js';
+import type {Hello, PeerMessage} from '../messages/peer_messages.js';
+
+/** Options of a client. */
+export interface LeaderClientOptions {
+  readonly self: Hello;
+  /** Addresses to begin with. */
+  readonly seeds: readonly string[];
+  readonly logger: Logger;
+  /** Answers calls on an instance that leads; resolves null elsewhere. */
+  readonly local?: (call: Call) => Promise<Reply> | null;
+  /** Told of messages that are not part of calls. */
+  readonly onMessage?: (from: string, message: PeerMessage) => void;
+  /** Told when a connection opened. */
+  readonly onUp?: (address: string) => void;
+}
+
+/** Outcome of a call. */
+export type CallOutcome =
+  | {readonly type: 'replied'; readonly reply: Reply}
+  /** No reply in time. */
+  | {
+      readonly type: 'unanswered';
+      /** Whether the call may have had an effect. */
+      readonly mayHaveRun: boolean;
+    };
+
+interface Peer {
+  readonly address: string;
+  readonly link: FrameLink<PeerMessage>;
+  readonly pending: Map<number, (reply: Reply | 'lost') => void>;
+  view: GroupView | null;
+}
+
+/** Pause in ms before a call is repeated, unless the view changes sooner. */
+const REPEAT_PAUSE_MS = 40;
+
+/** One client per instance; owns the links to all members. */
+export class LeaderClient {
+  readonly name = 'leader-client';
+  private readonly peers = new Map<string, Peer>();
+  private readonly waiters = new Set<() => void>();
+  private nextId = 1;
+  private known: GroupView | null = null;
+
+  constructor(private readonly options: LeaderClientOptions) {
+    for (const seed of options.seeds) this.connect(seed);
+  }
+
+  /** The newest view that any member has told. */
+  get view(): GroupView | null {
+    return this.known;
+  }
+
+  /** Whether a connection to the leader is open. */
+  get reachesLeader(): boolean {
+    return this.leader !== null;
+  }
+
+  /** Addresses of all members that were heard of. */
+  get members(): readonly string[] {
+    return [...this.peers.keys()];
+  }
+
+  /** Takes what this instance itself knows. */
+  setView(view: GroupView): void {
+    this.merge(view);
+  }
+
+  /** Connects to further members. */
+  addMembers(addresses: readonly string[]): void {
+    for (const address of addresses) this.connect(address);
+  }
+
+  /** Sends a message to a member, if it is connected. */
+  send(address: string, message: PeerMessage): void {
+    this.peers.get(address)?.link.send(message);
+  }
+
+  /**
+   * Carries a call to the leader, again after a change of the leader. Calls
+   * are idempotent.
+   */
+  async call(call: Call, timeoutMs: number): Promise<CallOutcome> {
+    const deadline = performance.now() + timeoutMs;
+    let mayHaveRun = false;
+    for (;;) {
+      const left = deadline - performance.now();
+      if (left <= 0) return {type: 'unanswered', mayHaveRun};
+      const reply = await this.attempt(call, left);
+      if (typeof reply === 'object' && isFinal(reply)) {
+        return {type: 'replied', reply};
+      }
+      if (reply === 'lost' || reply === 'timeout') mayHaveRun = true;
+      if (typeof reply === 'object' && reply.type === 'interrupted') {
+        mayHaveRun = true;
+      }
+      const pause = reply === 'no-leader' ? left : REPEAT_PAUSE_MS;
+      await this.changed(Math.min(pause, deadline - performance.now()));
+    }
+  }
+
+  close(): void {
+    for (const {link} of this.peers.values()) link.close();
+  }
+
+  private async attempt(
+    call: Call,
+    timeoutMs: number,
+  ): Promise<Reply | 'lost' | 'timeout' | 'no-leader'> {
+    const local = this.options.local?.(call);
+    if (local) return Promise.race([local, expiry(timeoutMs)]);
+    const {leader} = this;
+    if (!leader) return 'no-leader';
+    return this.exchange(leader, call, timeoutMs);
+  }
+
+  private exchange(
+    peer: Peer,
+    call: Call,
+    timeoutMs: number,
+  ): Promise<Reply | 'lost' | 'timeout'> {
+    const id = this.nextId++;
+    return new Promise(resolve => {
+      const timer = setTimeout(() => {
+        peer.pending.delete(id);
+        resolve('timeout');
+      }, timeoutMs);
+      peer.pending.set(id, reply => {
+        clearTimeout(timer);
+        peer.pending.delete(id);
+        resolve(reply);
+      });
+      peer.link.send({type: 'call', id, call});
+    });
+  }
+
+  private get leader(): Peer | null {
+    const address = this.known?.leader;
+    const peer = address ? this.peers.get(address) : undefined;
+    return peer?.link.isUp ? peer : null;
+  }
+
+  private connect(address: string): void {
+    if (address === this.options.self.address) return;
+    if (this.peers.has(address)) return;
+    const link = new FrameLink<PeerMessage>({
+      address,
+      onMessage: message => this.receive(address, message),
+      onUp: () => this.up(address),
+      onDown: () => this.down(address),
+      onMalformed: err =>
+        this.options.logger.warn('peer-malformed', {peer: address, err}),
+    });
+    this.peers.set(address, {address, link, pending: new Map(), view: null});
+  }
+
+  private up(address: string): void {
+    const peer = this.peers.get(address);
+    if (!peer) return;
+    this.options.logger.info('peer-up', {peer: address});
+    peer.link.send(this.options.self);
+    this.options.onUp?.(address);
+    this.notify();
+  }
+
+  private down(address: string): void {
+    const peer = this.peers.get(address);
+    if (!peer) return;
+    this.options.logger.warn('peer-down', {
+      peer: address,
+      pendingCalls: peer.pending.size,
+    });
+    for (const settle of [...peer.pending.values()]) settle('lost');
+    this.notify();
+  }
+
+  private receive(address: string, message: PeerMessage): void {
+    if (message.type === 'reply') {
+      this.peers.get(address)?.pending.get(message.id)?.(message.reply);
+    } else if (message.type === 'view') {
+      this.merge(message.view);
+    } else {
+      this.options.onMessage?.(address, message);
+    }
+  }
+
+  /** Keeps the view of the highest term, and in one term the known leader. */
+  private merge(view: GroupView): void {
+    this.addMembers(view.members);
+    const {known} = this;
+    const newer =
+      !known ||
+      view.term > known.term ||
+      (view.term === known.term && view.leader !== null);
+    if (!newer) return;
+    const changed = known?.leader !== view.leader || known?.term !== view.term;
+    this.known = view;
+    if (!changed) return;
+    const {term, leader} = view;
+    this.options.logger.info('leader-changed', {term, leader});
+    this.notify();
+  }
+
+  private notify(): void {
+    for (const waiter of [...this.waiters]) waiter();
+  }
+
+  /** Resolves at the next change of the leader or a link, or after a time. */
+  private changed(timeoutMs: number): Promise<void> {
+    return new Promise(resolve => {
+      const done = () => {
+        clearTimeout(timer);
+        this.waiters.delete(done);
+        resolve();
+      };
+      const timer = setTimeout(done, Math.max(1, timeoutMs));
+      this.waiters.add(done);
+    });
+  }
+}
+
+function isFinal(reply: Reply): boolean {
+  return reply.type !== 'not-leader' && reply.type !== 'interrupted';
+}
+
+function expiry(ms: number): Promise<'timeout'> {
+  return new Promise(resolve => setTimeout(() => resolve('timeout'), ms));
+}
--- /dev/null
+++ b/packages/dispatch/src/instance/member.ts
@@ -0,0 +1,333 @@
+/** An instance that serves control; those with a vote hold the log. */
+import {
+  DiskLogStorage,
+  type LogMessage,
+  LogTransport,
+  type MemberId,
+  ReplicatedLog,
+} from '@mustardferry/coordination';
+import {type FrameChannel,FrameServer} from '@mustardferry/links';
+import {
+  LifecycleManager,
+  type Logger,
+  type Metrics,
+} from '@mustardferry/runtime';
+import {DataFolder, type FileSystem} from '@mustardferry/storage';
+
+import type {Command, CommandResult} from '../jobs/commands.js';
+import {DispatchState} from '../jobs/dispatch_state.js';
+import type {Call, GroupView, Reply} from '../messages/calls.js';
+import type {PeerMessage} from '../messages/peer_messages.js';
+import {Owner} from '../owner/owner.js';
+import {sleep} from '../owner/waiting.js';
+import type {UpstreamPort} from '../upstreams/upstream_port.js';
+import {type CallOutcome, LeaderClient} from './leader_client.js';
+import {PauseDetector} from './pause_detector.js';
+
+/** Options of a member. Durations are in milliseconds. */
+export interface MemberOptions {
+  /** `IP:PORT` for other instances; also the member's name in the log. */
+  readonly address: string;
+  /** Addresses of members to begin with. */
+  readonly seeds: readonly string[];
+  /** Whether the whole group starts for the first time. */
+  readonly firstStart: boolean;
+  readonly files: FileSystem;
+  readonly dataFolder: string;
+  readonly port: UpstreamPort;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly leaseMs: number;
+  readonly remoteFactor: number;
+  readonly keepEndedMs: number;
+}
+
+/** Incarnation of the voters that the group begins with. */
+const FIRST_INCARNATION = 'first';
+
+/** Shortest election timeout in ms: four heartbeats and a slow sync. */
+const ELECTION_TIMEOUT_MS = 500;
+
+/** Segment size of the journal; a tenth of the smallest disk. */
+const SEGMENT_BYTES = 8 * 1024 * 1024;
+
+/** Entries between snapshots: a snapshot costs tens of ms. */
+const SNAPSHOT_EVERY_ENTRIES = 2_000;
+
+/** Period in ms in which a changed view is told to others. */
+const VIEW_PERIOD_MS = 50;
+
+/** Longest wait in ms for another leader before this one stops. */
+const HANDOVER_MS = 1_500;
+
+type Log = ReplicatedLog<Command, CommandResult>;
+
+/** Carries messages of the log over the links between members. */
+class LinkTransport extends LogTransport<Command> {
+  constructor(
+    private readonly self: MemberId,
+    private readonly client: () => LeaderClient,
+  ) {
+    super();
+  }
+
+  override send(to: MemberId, message: LogMessage<Command>): void {
+    this.client().send(to.name, {type: 'log', from: this.self, message});
+  }
+}
+
+/** Runs the log, and the owner while this member leads. */
+export class Member {
+  readonly name = 'member';
+  private readonly life = new LifecycleManager('member');
+  private readonly state = new DispatchState();
+  private readonly registered = new Map<string, MemberId>();
+  private readonly others = new Set<string>();
+  private readonly pauses: PauseDetector;
+  private readonly client: LeaderClient;
+  private server!: FrameServer<PeerMessage>;
+  private log: Log | null = null;
+  private owner: Owner | null = null;
+  private told = '';
+
+  private constructor(
+    private readonly options: MemberOptions,
+    private readonly self: MemberId,
+  ) {
+    const {address, seeds, logger} = options;
+    this.pauses = this.life.own(
+      new PauseDetector(pausedMs => logger.warn('clock-jumped', {pausedMs})),
+    );
+    this.client = this.life.own(
+      new LeaderClient({
+        self: {
+          type: 'hello',
+          role: 'member',
+          address,
+          incarnation: self.incarnation,
+        },
+        seeds,
+        logger,
+        local: call => this.local(call),
+      }),
+    );
+  }
+
+  /** Recovers the member's state and starts it. */
+  static async open(options: MemberOptions): Promise<Member> {
+    const {files, dataFolder, address, firstStart} = options;
+    const folder = await DataFolder.open({
+      files,
+      path: dataFolder,
+      instance: address,
+      exclusive: false,
+      ...(firstStart ? {newId: FIRST_INCARNATION} : {}),
+    });
+    const member = new Member(options, {name: address, incarnation: folder.id});
+    await member.start(folder);
+    return member;
+  }
+
+  /** Whether this member leads. */
+  get leads(): boolean {
+    return this.owner !== null;
+  }
+
+  get view(): GroupView | null {
+    return this.client.view;
+  }
+
+  /** Carries a call to the leader, wherever it is. */
+  call(call: Call, timeoutMs: number): Promise<CallOutcome> {
+    return this.client.call(call, timeoutMs);
+  }
+
+  /** Learns of further members, for example from changed settings. */
+  addSeeds(seeds: readonly string[]): void {
+    this.client.addMembers(seeds);
+  }
+
+  /** Hands leadership to another member, if one takes it in time. */
+  async handOver(): Promise<void> {
+    const until = performance.now() + HANDOVER_MS;
+    if (this.owner) this.log?.transferLeadership();
+    while (this.owner && performance.now() < until) await sleep(VIEW_PERIOD_MS);
+  }
+
+  async close(): Promise<void> {
+    this.owner?.close();
+    await this.life.close();
+  }
+
+  private async start(folder: DataFolder): Promise<void> {
+    const {address, logger} = this.options;
+    const [host = '', port = '0'] = address.split(':');
+    this.server = this.life.own(
+      await FrameServer.open<PeerMessage>({
+        host,
+        port: Number(port),
+        onOpen: channel => this.greet(channel),
+        onMessage: (channel, message) => void this.receive(channel, message),
+        onClose: () => undefined,
+        onMalformed: err => logger.warn('peer-malformed', {err}),
+      }),
+    );
+    this.life.every('view', VIEW_PERIOD_MS, () => this.tellView());
+    const storage = await DiskLogStorage.open<Command>({
+      files: folder.files,
+      folder: folder.folderFor('log'),
+      segmentBytes: SEGMENT_BYTES,
+    });
+    this.life.defer('storage', () => storage.close());
+    void this.joinGroup(storage).catch((err: unknown) => this.failed(err));
+  }
+
+  /** Opens the log, for a member that has a vote or had one. */
+  private async joinGroup(storage: DiskLogStorage<Command>): Promise<void> {
+    const {seeds, address, logger} = this.options;
+    const voters = await this.findVoters(storage);
+    if (!voters.some(({name}) => name === address)) {
+      logger.info('member-without-vote', {seeds});
+      return;
+    }
+    const log = await ReplicatedLog.open<Command, CommandResult>({
+      self: this.self,
+      voters,
+      mode: 'sync-everything',
+      storage,
+      transport: new LinkTransport(this.self, () => this.client),
+      machine: this.state,
+      electionTimeoutMs: ELECTION_TIMEOUT_MS,
+      snapshotEveryEntries: SNAPSHOT_EVERY_ENTRIES,
+      onFailure: err => this.failed(err),
+    });
+    this.log = log;
+    this.life.defer('log', () => log.close());
+    for (const member of this.registered.values()) log.setRegistered(member);
+    log.onLeadership(({leader, term}) => this.setLeadership(leader, term));
+    logger.info('log-opened', {
+      ...log.status(),
+      incarnation: this.self.incarnation,
+    });
+  }
+
+  /**
+   * Voters to begin with; a recovered log overrides them. A member that lost
+   * its disk asks the others whether its address has a vote.
+   */
+  private async findVoters(
+    storage: DiskLogStorage<Command>,
+  ): Promise<readonly MemberId[]> {
+    const {seeds, firstStart} = this.options;
+    const named = (names: readonly string[]) =>
+      names.map(name => ({name, incarnation: FIRST_INCARNATION}));
+    if (firstStart || storage.hasContent) return named(seeds);
+    for (;;) {
+      const voters = this.client.view?.voters ?? [];
+      if (voters.length > 0) return named(voters);
+      await sleep(VIEW_PERIOD_MS);
+    }
+  }
+
+  private failed(err: unknown): void {
+    this.options.logger.error('member-failed', {err});
+    // The process restarts and recovers from what was synced.
+    process.exitCode = 1;
+    setImmediate(() => process.exit());
+  }
+
+  private setLeadership(leads: boolean, term: number): void {
+    const {options, log} = this;
+    options.logger.info('leadership', {leads, term});
+    this.owner?.close();
+    this.owner = null;
+    if (leads && log) {
+      this.owner = new Owner({
+        ...options,
+        log,
+        state: this.state,
+        term,
+        wasPaused: () => this.pauses.recently,
+      });
+    }
+    this.tellView();
+  }
+
+  private local(call: Call): Promise<Reply> | null {
+    return this.owner?.handle(call) ?? null;
+  }
+
+  private greet(channel: FrameChannel<PeerMessage>): void {
+    const view = this.currentView();
+    if (view) channel.send({type: 'view', view});
+  }
+
+  private async receive(
+    channel: FrameChannel<PeerMessage>,
+    message: PeerMessage,
+  ): Promise<void> {
+    switch (message.type) {
+      case 'hello':
+        if (message.role === 'member')
+          this.meet(message.address, message.incarnation);
+        return;
+      case 'log':
+        this.log?.receive(message.from, message.message as LogMessage<Command>);
+        return;
+      case 'call': {
+        const {id, call} = message;
+        const reply = (await this.local(call)) ?? {type: 'not-leader' as const};
+        channel.send({type: 'reply', id, reply});
+        return;
+      }
+      case 'reply':
+      case 'view':
+        return;
+    }
+  }
+
+  private meet(address: string, incarnation: string): void {
+    const member = {name: address, incarnation};
+    this.others.add(address);
+    this.registered.set(address, member);
+    this.client.addMembers([address]);
+    this.log?.setRegistered(member);
+  }
+
+  private currentView(): GroupView | null {
+    const {log, client, options} = this;
+    const status = log?.status();
+    const voters =
+      status?.voters.map(({name}) => name) ?? client.view?.voters ?? [];
+    const members = [
+      ...new Set([options.address, ...voters, ...this.others]),
+    ].sort();
+    if (!status || status.role === 'learner') {
+      const {view} = client;
+      return {
+        term: view?.term ?? 0,
+        leader: view?.leader ?? null,
+        voters,
+        members,
+      };
+    }
+    const {term, leader} = status;
+    const ready = leader?.name !== options.address || this.owner !== null;
+    return {
+      term,
+      leader: ready ? (leader?.name ?? null) : null,
+      voters,
+      members,
+    };
+  }
+
+  private tellView(): void {
+    const view = this.currentView();
+    if (!view) return;
+    const text = JSON.stringify(view);
+    if (text === this.told) return;
+    this.told = text;
+    this.client.setView(view);
+    this.server.broadcast({type: 'view', view});
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/jobs/dispatch_state.ts
@@ -0,0 +1,220 @@
+/**
+ * Replicated state of dispatch: the configuration, the upstreams, and every
+ * job with the ends that count. Which run goes on where is not part of it: a
+ * new leader learns that from the upstreams, which list their runs and ends.
+ */
+import {StateMachine} from '@mustardferry/coordination';
+import {assertNever} from '@mustardferry/model';
+import {pack, unpack} from 'msgpackr';
+
+import {type UpstreamRecord} from '../upstreams/upstream_types.js';
+import type {
+  Command,
+  CommandResult,
+  CountedEnd,
+  JobRecord,
+  UpstreamEntry,
+} from './commands.js';
+import {type Configuration, QueueTable} from './configuration.js';
+import {type AdmittedJob, DONE} from './job_types.js';
+
+/**
+ * Ends kept of jobs that are not known yet: a leader may start tasks before
+ * the admission is committed, and fail in between.
+ */
+const MAX_EARLY_ENDS = 4_096;
+
+interface Snapshot {
+  readonly format: 1;
+  readonly configuration: Configuration | null;
+  readonly upstreams: readonly UpstreamEntry[];
+  readonly jobs: readonly JobRecord[];
+  readonly earlyEnds: readonly CountedEnd[];
+}
+
+const NOTHING: CommandResult = {type: 'done'};
+
+/** Deterministic machine of the group's log. */
+export class DispatchState extends StateMachine<Command, CommandResult> {
+  private table: QueueTable | null = null;
+  private readonly upstreamsById = new Map<string, UpstreamEntry>();
+  private readonly jobsById = new Map<string, JobRecord>();
+  private earlyEnds: CountedEnd[] = [];
+
+  get queues(): QueueTable | null {
+    return this.table;
+  }
+
+  get upstreams(): ReadonlyMap<string, UpstreamEntry> {
+    return this.upstreamsById;
+  }
+
+  get jobs(): ReadonlyMap<string, Readonly<JobRecord>> {
+    return this.jobsById;
+  }
+
+  /** Ends of a job that came before it was known. */
+  endsBefore(job: string): readonly CountedEnd[] {
+    return this.earlyEnds.filter(({task}) => task.job === job);
+  }
+
+  override apply(command: Command): CommandResult {
+    switch (command.type) {
+      case 'configure':
+        return this.configure(command.configuration);
+      case 'upstream':
+        return this.setUpstream(command.upstream);
+      case 'forget-upstream': {
+        const {id, startedAt} = command.life;
+        const known = this.upstreamsById.get(id)?.record.startedAt;
+        if (known === startedAt) this.upstreamsById.delete(id);
+        return NOTHING;
+      }
+      case 'submit':
+        return this.submit(command.job);
+      case 'cancel':
+        return this.cancel(command.job, command.at);
+      case 'ends':
+        return this.addEnds(command);
+      case 'expire':
+        return this.expire(command.before);
+      default:
+        return assertNever(command);
+    }
+  }
+
+  override snapshot(): Uint8Array {
+    const content: Snapshot = {
+      format: 1,
+      configuration: this.table?.configuration ?? null,
+      upstreams: [...this.upstreamsById.values()],
+      jobs: [...this.jobsById.values()],
+      earlyEnds: this.earlyEnds,
+    };
+    return pack(content);
+  }
+
+  override restore(bytes: Uint8Array): void {
+    const content = unpack(bytes) as Snapshot;
+    const {configuration} = content;
+    this.table = configuration && new QueueTable(configuration);
+    this.upstreamsById.clear();
+    for (const entry of content.upstreams) {
+      this.upstreamsById.set(entry.record.id, entry);
+    }
+    this.jobsById.clear();
+    for (const record of content.jobs) this.jobsById.set(record.job.id, record);
+    this.earlyEnds = [...content.earlyEnds];
+  }
+
+  private configure(configuration: Configuration): CommandResult {
+    const held = this.table?.configuration.revision ?? -1;
+    if (configuration.revision > held) {
+      this.table = new QueueTable(configuration);
+    }
+    return {type: 'revision', revision: Math.max(held, configuration.revision)};
+  }
+
+  private setUpstream(record: UpstreamRecord): CommandResult {
+    const known = this.upstreamsById.get(record.id);
+    if (known && known.record.startedAt > record.startedAt) return NOTHING;
+    const sameLife = known?.record.startedAt === record.startedAt;
+    const acknowledged = sameLife && known ? known.acknowledged : 0;
+    this.upstreamsById.set(record.id, {record, acknowledged});
+    return NOTHING;
+  }
+
+  private submit(job: AdmittedJob): CommandResult {
+    const known = this.jobsById.get(job.id);
+    if (known) return this.stateOf(known);
+    const record: JobRecord = {
+      job,
+      progress: job.steps.map(({tasks}) => new Array<number>(tasks).fill(0)),
+      remaining: job.steps.reduce((sum, {tasks}) => sum + tasks, 0),
+      outcome: 'open',
+      endedAt: 0,
+    };
+    this.jobsById.set(job.id, record);
+    if (this.earlyEnds.length > 0) this.takeEarlyEnds(record);
+    return this.stateOf(record);
+  }
+
+  private takeEarlyEnds(record: JobRecord): void {
+    const {id, admittedAt} = record.job;
+    const own = this.earlyEnds.filter(({task}) => task.job === id);
+    if (own.length === 0) return;
+    this.earlyEnds = this.earlyEnds.filter(({task}) => task.job !== id);
+    for (const end of own) this.count(record, end, admittedAt);
+  }
+
+  private cancel(id: string, at: number): CommandResult {
+    const record = this.jobsById.get(id);
+    if (!record) return {type: 'job', state: 'unknown'};
+    if (record.outcome === 'open') this.end(record, 'cancelled', at);
+    return this.stateOf(record);
+  }
+
+  private addEnds({
+    at,
+    life,
+    upTo,
+    ends,
+  }: Extract<Command, {type: 'ends'}>): CommandResult {
+    const entry = this.upstreamsById.get(life.id);
+    const sameLife = entry?.record.startedAt === life.startedAt;
+    if (entry && sameLife) {
+      const acknowledged = Math.max(entry.acknowledged, upTo);
+      this.upstreamsById.set(life.id, {...entry, acknowledged});
+    }
+    for (const end of ends) {
+      const record = this.jobsById.get(end.task.job);
+      if (record) this.count(record, end, at);
+      else this.keepEarly(end);
+    }
+    return NOTHING;
+  }
+
+  private keepEarly(end: CountedEnd): void {
+    this.earlyEnds.push(end);
+    if (this.earlyEnds.length > MAX_EARLY_ENDS) this.earlyEnds.shift();
+  }
+
+  private count(record: JobRecord, end: CountedEnd, at: number): void {
+    const tasks = record.progress[end.task.step];
+    const failures = tasks?.[end.task.index];
+    if (!tasks || failures === undefined || record.outcome !== 'open') return;
+    if (failures === DONE) return;
+    if (end.outcome === 'done') {
+      tasks[end.task.index] = DONE;
+      record.remaining--;
+      if (record.remaining === 0) this.end(record, 'completed', at);
+      return;
+    }
+    tasks[end.task.index] = failures + 1;
+    const spent = failures + 1 >= record.job.maxAttempts;
+    if (spent) this.end(record, 'failed', at);
+  }
+
+  private end(
+    record: JobRecord,
+    outcome: 'completed' | 'failed' | 'cancelled',
+    at: number,
+  ): void {
+    record.outcome = outcome;
+    record.endedAt = at;
+    // The payload is most of a record, and ended jobs never start again.
+    const job = {...record.job, payload: ''};
+    this.jobsById.set(job.id, {...record, job});
+  }
+
+  private expire(before: number): CommandResult {
+    for (const [id, {outcome, endedAt}] of this.jobsById) {
+      if (outcome !== 'open' && endedAt < before) this.jobsById.delete(id);
+    }
+    return NOTHING;
+  }
+
+  private stateOf({outcome}: JobRecord): CommandResult {
+    return {type: 'job', state: outcome === 'open' ? 'queued' : outcome};
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/owner/board_types.ts
@@ -0,0 +1,72 @@
+/** Scheduling state of jobs and tasks on the owner; not replicated. */
+import type {QueueConfig} from '../jobs/configuration.js';
+import type {AdmittedJob, Step, TaskId} from '../jobs/job_types.js';
+import type {UpstreamSession} from './upstream_session.js';
+
+/** Where a run is. */
+export type RunPhase =
+  /** The start order is on its way. */
+  | 'starting'
+  /** The start order had no answer. */
+  | 'uncertain'
+  | 'running'
+  | 'stopping';
+
+/** One run of a task on an upstream. */
+export interface Run {
+  readonly task: BoardTask;
+  readonly number: number;
+  readonly session: UpstreamSession;
+  /** When the start order was sent, or the run was found. */
+  readonly startedAt: number;
+  phase: RunPhase;
+  /** When the upstream confirmed the run; Infinity before. */
+  confirmedAt: number;
+  /** When the upstream acknowledged a stop; Infinity before. */
+  stopAckedAt: number;
+  /** Share of the work done, 0 to 100. */
+  percent: number;
+}
+
+/** Where a task is. */
+export type TaskPhase =
+  /** Waits for earlier steps. */
+  | 'blocked'
+  /** May run on an upstream that has not answered this leader yet. */
+  | 'unknown'
+  | 'ready'
+  | 'active'
+  /** Its last run has ended; no other follows. */
+  | 'ended';
+
+/** A task of an open job. */
+export interface BoardTask {
+  readonly id: TaskId;
+  readonly key: string;
+  readonly job: BoardJob;
+  readonly step: Step;
+  phase: TaskPhase;
+  run: Run | null;
+  /** Highest run number that may have been used. */
+  lastRun: number;
+  /** Runs that failed, committed or not. */
+  failures: number;
+  /** Lives on which the task failed or was refused. */
+  avoid: string[];
+}
+
+/** An open job. */
+export interface BoardJob {
+  readonly admitted: AdmittedJob;
+  readonly queue: QueueConfig;
+  /** Time of admission by the process's clock. */
+  readonly since: number;
+  /** Response time objective in milliseconds, from the declared times. */
+  readonly objectiveMs: number;
+  readonly tasks: readonly (readonly BoardTask[])[];
+  /** Tasks not done, by step. */
+  readonly remaining: number[];
+  /** Whether a start order was given for any task. */
+  started: boolean;
+  closed: boolean;
+}
--- /dev/null
+++ b/packages/dispatch/src/owner/capacity_use.ts
@@ -0,0 +1,46 @@
+/** Capacity of an upstream that runs take. */
+import type {Step} from '../jobs/job_types.js';
+import type {UpstreamRecord} from '../upstreams/upstream_types.js';
+
+/** Counts what is taken; runs that are being stopped still count. */
+export class CapacityUse {
+  private cpuMillis = 0;
+  private memoryMb = 0;
+  private accelerators = 0;
+
+  constructor(private record: UpstreamRecord) {}
+
+  /** Takes a changed announcement. */
+  update(record: UpstreamRecord): void {
+    this.record = record;
+  }
+
+  get freeCpuMillis(): number {
+    return this.record.cpuMillis - this.cpuMillis;
+  }
+
+  get usedCpuMillis(): number {
+    return this.cpuMillis;
+  }
+
+  fits(step: Step): boolean {
+    const {record} = this;
+    return (
+      this.cpuMillis + step.cpuMillis <= record.cpuMillis &&
+      this.memoryMb + step.memoryMb <= record.memoryMb &&
+      this.accelerators + step.accelerators <= record.accelerators
+    );
+  }
+
+  add(step: Step): void {
+    this.cpuMillis += step.cpuMillis;
+    this.memoryMb += step.memoryMb;
+    this.accelerators += step.accelerators;
+  }
+
+  remove(step: Step): void {
+    this.cpuMillis -= step.cpuMillis;
+    this.memoryMb -= step.memoryMb;
+    this.accelerators -= step.accelerators;
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/owner/owner.ts
@@ -0,0 +1,210 @@
+/**
+ * The leader's work: admits jobs, keeps one session with each upstream under
+ * its term as the fencing token, and starts tasks. It lives for one term.
+ */
+import type {ReplicatedLog} from '@mustardferry/coordination';
+import type {Logger, Metrics} from '@mustardferry/runtime';
+
+import type {Command, CommandResult} from '../jobs/commands.js';
+import type {QueueConfig} from '../jobs/configuration.js';
+import type {DispatchState} from '../jobs/dispatch_state.js';
+import {type AdmittedJob, taskKey} from '../jobs/job_types.js';
+import type {Call, Reply} from '../messages/calls.js';
+import type {UpstreamPort} from '../upstreams/upstream_port.js';
+import {CallHandler} from './call_handler.js';
+import {Dispatcher} from './dispatcher.js';
+import {Proposer} from './proposer.js';
+import {Registrar} from './registrar.js';
+import {TaskBoard} from './task_board.js';
+
+/** Options of an owner. Durations are in milliseconds. */
+export interface OwnerOptions {
+  readonly log: ReplicatedLog<Command, CommandResult>;
+  readonly state: DispatchState;
+  readonly port: UpstreamPort;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly term: number;
+  /** Longest lease that upstreams grant. */
+  readonly leaseMs: number;
+  readonly remoteFactor: number;
+  /** Time for which ended jobs are remembered. */
+  readonly keepEndedMs: number;
+  /** Address of this instance, told to upstreams. */
+  readonly address: string;
+  /** Whether the process was paused, so that its clock can't be trusted. */
+  readonly wasPaused: () => boolean;
+}
+
+/** Slowest clock of an upstream, and a margin for orders on their way. */
+const LEASE_STRETCH = 1.02;
+const SETTLE_MARGIN_MS = 80;
+
+/** How long runs of jobs that are not known yet are left alone. */
+const ORPHAN_GRACE_MS = 2_500;
+
+/** Period of the sweep of silent upstreams and ended jobs. */
+const SWEEP_MS = 1_000;
+
+/** Sweeps between two removals of ended jobs from the replicated state. */
+const SWEEPS_PER_EXPIRY = 10;
+
+/** Work of one term of leadership. */
+export class Owner {
+  readonly name = 'owner';
+  private readonly board = new TaskBoard();
+  private readonly dispatcher: Dispatcher;
+  private readonly registrar: Registrar;
+  private readonly calls: CallHandler;
+  private readonly proposer: Proposer;
+  private readonly timers: NodeJS.Timeout[] = [];
+  private unfenced = new Set<string>();
+  private superseded = false;
+  private closed = false;
+  private sweeps = 0;
+
+  constructor(private readonly options: OwnerOptions) {
+    const {log, state, logger, metrics, term} = options;
+    this.proposer = new Proposer(log, logger);
+    const propose = (command: Command) => this.proposer.propose(command);
+    const mayOrder = () => this.mayOrder();
+    this.dispatcher = new Dispatcher({
+      board: this.board,
+      state,
+      propose,
+      logger,
+      metrics,
+      mayOrder,
+      remoteFactor: options.remoteFactor,
+      onSuperseded: () => (this.superseded = true),
+      onOtherLife: (session, startedAt) =>
+        this.registrar.replaced(session, startedAt),
+      onFenced: session => this.fenced(session.key),
+    });
+    this.registrar = new Registrar({
+      state,
+      dispatcher: this.dispatcher,
+      propose,
+      port: options.port,
+      logger,
+      token: term,
+      leaseMs: options.leaseMs,
+      mayOrder,
+    });
+    this.calls = new CallHandler({
+      state,
+      log,
+      propose,
+      board: this.board,
+      dispatcher: this.dispatcher,
+      registrar: this.registrar,
+      logger,
+      metrics,
+      term,
+      address: options.address,
+    });
+    this.begin();
+  }
+
+  /** Answers a call. */
+  async handle(call: Call): Promise<Reply> {
+    if (!this.mayOrder()) return {type: 'not-leader'};
+    return this.calls.handle(call);
+  }
+
+  close(): void {
+    if (this.closed) return;
+    this.closed = true;
+    for (const timer of this.timers) clearTimeout(timer);
+    this.proposer.close();
+    this.dispatcher.close();
+    this.calls.close();
+  }
+
+  /** Whether this leader's lease holds, so that no other one can exist. */
+  private mayOrder(): boolean {
+    if (this.closed || this.superseded || this.options.wasPaused())
+      return false;
+    return this.options.log.status().leaseMs > 0;
+  }
+
+  private begin(): void {
+    const {state, term, logger, leaseMs} = this.options;
+    const now = performance.now();
+    for (const record of state.jobs.values()) {
+      if (record.outcome !== 'open') continue;
+      const {job} = record;
+      const queue = state.queues?.get(job.queue) ?? droppedQueue(job);
+      this.board.recover(record, queue, now, term);
+    }
+    this.registrar.recover();
+    this.unfenced = new Set(this.registrar.all.map(({key}) => key));
+    logger.info('owner-started', {
+      term,
+      upstreams: this.unfenced.size,
+      openJobs: this.board.openCount,
+      revision: state.queues?.configuration.revision,
+    });
+    const settleMs = leaseMs * LEASE_STRETCH + SETTLE_MARGIN_MS;
+    this.timers.push(setTimeout(() => this.settle('leases over'), settleMs));
+    this.timers.push(setTimeout(() => this.dropOrphans(), ORPHAN_GRACE_MS));
+    this.timers.push(setInterval(() => this.sweep(), SWEEP_MS));
+    if (this.unfenced.size === 0) this.settle('no upstreams');
+  }
+
+  private fenced(key: string): void {
+    this.unfenced.delete(key);
+    if (this.unfenced.size === 0) this.settle('all upstreams answered');
+  }
+
+  /**
+   * Starts are safe from now on: every upstream either told its runs under
+   * this owner's token, or its leases from earlier owners are over.
+   */
+  private settle(cause: string): void {
+    if (this.closed || this.dispatcher.isEnabled) return;
+    this.options.logger.info('owner-settled', {
+      cause,
+      unanswered: this.unfenced.size,
+      orphans: this.dispatcher.orphans.size,
+    });
+    this.board.settle();
+    this.dispatcher.enable();
+  }
+
+  private dropOrphans(): void {
+    for (const [key, {session, active}] of this.dispatcher.orphans) {
+      this.dispatcher.orphans.delete(key);
+      this.options.logger.warn('stray-run-stopped', {
+        task: taskKey(active.task),
+        run: active.run,
+        upstream: session.record.id,
+      });
+      void session.forbid(active);
+    }
+  }
+
+  private sweep(): void {
+    if (!this.mayOrder()) return;
+    this.registrar.sweep(performance.now());
+    this.dispatcher.schedule();
+    this.sweeps++;
+    if (this.sweeps % SWEEPS_PER_EXPIRY !== 0) return;
+    const before = Date.now() - this.options.keepEndedMs;
+    this.proposer.propose({type: 'expire', before}).catch(() => undefined);
+  }
+}
+
+/** Stands in for a queue that a later configuration removed. */
+function droppedQueue(job: AdmittedJob): QueueConfig {
+  return {
+    name: job.queue,
+    host: '',
+    prefix: '',
+    pool: job.pool,
+    priority: Number.MAX_SAFE_INTEGER,
+    maxAttempts: job.maxAttempts,
+    stretch: 1,
+    targetMs: 0,
+  };
+}
--- /dev/null
+++ b/packages/dispatch/src/owner/placement.ts
@@ -0,0 +1,126 @@
+/** Chooses the upstream for a task. */
+import type {OutlierEjection} from '@mustardferry/decisions';
+
+import type {BoardTask} from './board_types.js';
+import type {UpstreamSession} from './upstream_session.js';
+import type {UpstreamSpeed} from './upstream_speed.js';
+
+/**
+ * Time that a job spends on the way in milliseconds, besides waiting and
+ * running: the admission runs beside the first task, the end is committed.
+ */
+const OVERHEAD_MS = 30;
+
+/** Margin in milliseconds below which an upstream counts as too slow. */
+const MIN_MARGIN_MS = 15;
+
+/** Share of the capacity in use above which fast upstreams are saved. */
+const SCARCE_SHARE = 0.6;
+
+/** What a choice is made from. */
+export interface PlacementInput {
+  readonly sessions: readonly UpstreamSession[];
+  readonly now: number;
+  /** Time factor of tasks whose data is in another rack. */
+  readonly remoteFactor: number;
+}
+
+/** A choice, with what decided it. */
+export interface Placement {
+  readonly session: UpstreamSession;
+  readonly expectedMs: number;
+  /** Time to spare until the job's objective; negative when late. */
+  readonly marginMs: number;
+}
+
+/**
+ * Prefers, while capacity is scarce, the slowest upstream that still meets the
+ * objective, which leaves the fast ones to long tasks; otherwise the one that
+ * ends soonest.
+ */
+export class PlacementPolicy {
+  constructor(
+    private readonly speed: UpstreamSpeed,
+    private readonly health: OutlierEjection,
+  ) {}
+
+  choose(task: BoardTask, input: PlacementInput): Placement | null {
+    const scarce = usedShare(input.sessions) > SCARCE_SHARE;
+    let best: Placement | null = null;
+    for (const session of input.sessions) {
+      if (!this.isEligible(task, session, input.now)) continue;
+      const found = this.evaluate(task, session, input);
+      if (!best || isBetter(found, best, scarce)) best = found;
+    }
+    return best;
+  }
+
+  private isEligible(
+    task: BoardTask,
+    session: UpstreamSession,
+    now: number,
+  ): boolean {
+    const {step} = task;
+    if (!session.accepts || !session.use.fits(step)) return false;
+    if (session.fullUntil > now || task.avoid.includes(session.key)) {
+      return false;
+    }
+    const {labels} = session.record;
+    if (step.label !== '' && !labels.includes(step.label)) return false;
+    if (
+      step.maxPerUpstream > 0 &&
+      runsOfStep(task, session) >= step.maxPerUpstream
+    ) {
+      return false;
+    }
+    const {allowance} = this.health.verdict(session.key, now);
+    return session.runs.size < allowance;
+  }
+
+  private evaluate(
+    task: BoardTask,
+    session: UpstreamSession,
+    {now, remoteFactor}: PlacementInput,
+  ): Placement {
+    const {step, job} = task;
+    const near =
+      step.dataRack === '' || session.record.labels.includes(step.dataRack);
+    const factor = this.speed.factor(session.key) * (near ? 1 : remoteFactor);
+    const expectedMs = step.declaredMs * factor;
+    const elapsedMs = now - job.since;
+    const marginMs = job.objectiveMs - elapsedMs - expectedMs - OVERHEAD_MS;
+    return {session, expectedMs, marginMs};
+  }
+}
+
+function isBetter(a: Placement, b: Placement, scarce: boolean): boolean {
+  const aMeets = a.marginMs >= MIN_MARGIN_MS;
+  const bMeets = b.marginMs >= MIN_MARGIN_MS;
+  if (aMeets !== bMeets) return aMeets;
+  if (a.expectedMs !== b.expectedMs) {
+    return scarce && aMeets
+      ? a.expectedMs > b.expectedMs
+      : a.expectedMs < b.expectedMs;
+  }
+  return a.session.use.freeCpuMillis > b.session.use.freeCpuMillis;
+}
+
+function runsOfStep(task: BoardTask, session: UpstreamSession): number {
+  let count = 0;
+  for (const run of session.runs.values()) {
+    const {id} = run.task;
+    if (id.job === task.id.job && id.step === task.id.step) count++;
+  }
+  return count;
+}
+
+function usedShare(sessions: readonly UpstreamSession[]): number {
+  let used = 0;
+  let total = 0;
+  for (const {use, record, accepts} of sessions) {
+    if (!accepts) continue;
+    used += use.usedCpuMillis;
+    total += record.cpuMillis;
+  }
+  return total === 0 ? 0 : used / total;
+}
--- /dev/null
+++ b/packages/dispatch/src/owner/task_board.ts
@@ -0,0 +1,204 @@
+/** Open jobs, and the tasks that wait for upstreams. */
+import type {JobRecord} from '../jobs/commands.js';
+import type {QueueConfig} from '../jobs/configuration.js';
+import {
+  type AdmittedJob,
+  DONE,
+  type JobProgress,
+  type Step,
+  taskKey,
+} from '../jobs/job_types.js';
+import type {BoardJob, BoardTask, Run} from './board_types.js';
+import {ReadyQueue} from './ready_queue.js';
+
+/**
+ * Run numbers that a leader leaves free for each earlier term since the
+ * admission, as those leaders' runs may be unknown.
+ */
+const RUNS_PER_TERM = 16;
+
+/** Owns the scheduling state of all open jobs. */
+export class TaskBoard {
+  private readonly jobs = new Map<string, BoardJob>();
+  private readonly tasks = new Map<string, BoardTask>();
+  private readonly queues = new Map<string, ReadyQueue>();
+
+  get openJobs(): Iterable<BoardJob> {
+    return this.jobs.values();
+  }
+
+  get openCount(): number {
+    return this.jobs.size;
+  }
+
+  job(id: string): BoardJob | undefined {
+    return this.jobs.get(id);
+  }
+
+  task(key: string): BoardTask | undefined {
+    return this.tasks.get(key);
+  }
+
+  /** Ready tasks by pool. */
+  get readyQueues(): ReadonlyMap<string, ReadyQueue> {
+    return this.queues;
+  }
+
+  /** Adds a job that this leader admits; nothing of it has run. */
+  admit(admitted: AdmittedJob, queue: QueueConfig, now: number): BoardJob {
+    const job = this.create(admitted, queue, now, null);
+    this.unblock(job);
+    return job;
+  }
+
+  /** Adds a job of an earlier leader; its tasks may run somewhere. */
+  recover(
+    record: JobRecord,
+    queue: QueueConfig,
+    now: number,
+    term: number,
+  ): void {
+    const since = now - Math.max(0, Date.now() - record.job.admittedAt);
+    const job = this.create(record.job, queue, since, record.progress);
+    const lastRun = (term - record.job.term) * RUNS_PER_TERM;
+    for (const task of job.tasks.flat()) {
+      task.lastRun = lastRun;
+      if (task.phase === 'blocked') task.phase = 'unknown';
+    }
+    job.started = true;
+  }
+
+  /** Makes the tasks ready that no upstream is found to run. */
+  settle(): void {
+    for (const job of this.jobs.values()) {
+      for (const task of job.tasks.flat()) {
+        if (task.phase === 'unknown') task.phase = 'blocked';
+      }
+      this.unblock(job);
+    }
+  }
+
+  /** Queues a task again whose run ended without a result. */
+  requeue(task: BoardTask): void {
+    task.run = null;
+    if (task.job.closed || task.phase === 'ended') return;
+    this.makeReady(task);
+  }
+
+  /** Notes that a task is done, and readies the steps that waited for it. */
+  taskDone(task: BoardTask): void {
+    task.run = null;
+    if (task.phase === 'ended') return;
+    task.phase = 'ended';
+    const {step} = task.id;
+    task.job.remaining[step] = (task.job.remaining[step] ?? 1) - 1;
+    if (task.job.remaining[step] === 0) this.unblock(task.job);
+  }
+
+  /** Removes a job; returns the runs that are left to stop. */
+  close(id: string): readonly Run[] {
+    const job = this.jobs.get(id);
+    if (!job) return [];
+    job.closed = true;
+    this.jobs.delete(id);
+    const runs: Run[] = [];
+    for (const task of job.tasks.flat()) {
+      this.tasks.delete(task.key);
+      task.phase = 'ended';
+      if (task.run) runs.push(task.run);
+    }
+    return runs;
+  }
+
+  /** Jobs of a queue of which no task has started. */
+  pending(queue: string): number {
+    let count = 0;
+    for (const job of this.jobs.values()) {
+      if (!job.started && job.admitted.queue === queue) count++;
+    }
+    return count;
+  }
+
+  private create(
+    admitted: AdmittedJob,
+    queue: QueueConfig,
+    since: number,
+    progress: JobProgress | null,
+  ): BoardJob {
+    const tasks: BoardTask[][] = [];
+    const job: BoardJob = {
+      admitted,
+      queue,
+      since,
+      objectiveMs: queue.stretch * chainMs(admitted.steps) + queue.targetMs,
+      tasks,
+      remaining: [],
+      started: false,
+      closed: false,
+    };
+    admitted.steps.forEach((step, index) => {
+      tasks.push(createTasks(job, step, index, progress?.[index]));
+    });
+    for (const list of tasks) {
+      job.remaining.push(list.filter(task => task.phase !== 'ended').length);
+      for (const task of list) this.tasks.set(task.key, task);
+    }
+    this.jobs.set(admitted.id, job);
+    return job;
+  }
+
+  private unblock(job: BoardJob): void {
+    job.admitted.steps.forEach((step, index) => {
+      if (step.after.some(earlier => (job.remaining[earlier] ?? 0) > 0)) return;
+      for (const task of job.tasks[index] ?? []) {
+        if (task.phase === 'blocked') this.makeReady(task);
+      }
+    });
+  }
+
+  private makeReady(task: BoardTask): void {
+    task.phase = 'ready';
+    const {pool} = task.job.admitted;
+    const queue = this.queues.get(pool);
+    if (queue) {
+      queue.add(task);
+      return;
+    }
+    const created = new ReadyQueue();
+    this.queues.set(pool, created);
+    created.add(task);
+  }
+}
+
+function createTasks(
+  job: BoardJob,
+  step: Step,
+  stepIndex: number,
+  progress: readonly number[] | undefined,
+): BoardTask[] {
+  return Array.from({length: step.tasks}, (_, index) => {
+    const id = {job: job.admitted.id, step: stepIndex, index};
+    const failures = progress?.[index] ?? 0;
+    return {
+      id,
+      key: taskKey(id),
+      job,
+      step,
+      phase: failures === DONE ? 'ended' : 'blocked',
+      run: null,
+      lastRun: 0,
+      failures: Math.max(0, failures),
+      avoid: [],
+    };
+  });
+}
+
+/** Longest chain of declared run times. */
+function chainMs(steps: readonly Step[]): number {
+  const ends: number[] = [];
+  for (const step of steps) {
+    const starts = step.after.map(earlier => ends[earlier] ?? 0);
+    ends.push(Math.max(0, ...starts) + step.declaredMs);
+  }
+  return Math.max(0, ...ends);
+}
--- /dev/null
+++ b/packages/dispatch/src/owner/transient_jobs.ts
@@ -0,0 +1,102 @@
+/** Jobs whose callers wait for the end; they are not replicated. */
+import type {Logger, Metrics} from '@mustardferry/runtime';
+
+import type {QueueConfig} from '../jobs/configuration.js';
+import type {AdmittedJob} from '../jobs/job_types.js';
+import type {Reply} from '../messages/calls.js';
+import type {Dispatcher} from './dispatcher.js';
+import type {TaskBoard} from './task_board.js';
+
+/** Options of the registry. */
+export interface TransientJobsOptions {
+  readonly board: TaskBoard;
+  readonly dispatcher: Dispatcher;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+interface Waiting {
+  readonly reply: Promise<Reply>;
+  readonly settle: (reply: Reply) => void;
+  readonly timer: NodeJS.Timeout;
+}
+
+/** Ended jobs whose answers are kept, for submissions that are repeated. */
+const KEPT_ANSWERS = 4_096;
+
+/** Answers each caller once its job ends or its patience does. */
+export class TransientJobs {
+  private readonly waiting = new Map<string, Waiting>();
+  private readonly answers = new Map<string, Reply>();
+
+  constructor(private readonly options: TransientJobsOptions) {
+    options.dispatcher.onTransientEnd = (id, state) => this.ended(id, state);
+  }
+
+  /** The answer to a job that was submitted before, if it is known. */
+  known(id: string): Promise<Reply> | Reply | undefined {
+    return this.waiting.get(id)?.reply ?? this.answers.get(id);
+  }
+
+  /** Runs a job; resolves with its end. */
+  submit(
+    job: AdmittedJob,
+    queue: QueueConfig,
+    patienceMs: number,
+  ): Promise<Reply> {
+    let settle: (reply: Reply) => void = () => undefined;
+    const reply = new Promise<Reply>(resolve => (settle = resolve));
+    const timer = setTimeout(() => this.expire(job.id), patienceMs);
+    this.waiting.set(job.id, {reply, settle, timer});
+    this.options.dispatcher.place(job, queue);
+    return reply;
+  }
+
+  /** Drops a job whose caller has gone. */
+  abandon(id: string, cause: string): void {
+    const {board, dispatcher, logger} = this.options;
+    const job = board.job(id);
+    if (!job || job.admitted.durable) return;
+    logger.info('job-abandoned', {
+      job: id,
+      cause,
+      ageMs: Math.round(performance.now() - job.since),
+      started: job.started,
+    });
+    dispatcher.stopRuns(board.close(id));
+    dispatcher.schedule();
+    const reply: Reply = job.started
+      ? {type: 'given-up'}
+      : {type: 'refused', reason: 'not-in-time'};
+    this.settle(id, reply);
+  }
+
+  /** Answers all callers that wait; the next owner may run their jobs. */
+  close(): void {
+    for (const id of [...this.waiting.keys()]) {
+      this.settle(id, {type: 'interrupted'});
+    }
+  }
+
+  private expire(id: string): void {
+    this.abandon(id, 'patience over');
+  }
+
+  private ended(id: string, state: 'completed' | 'failed'): void {
+    const reply: Reply = {type: 'ended', state};
+    this.answers.set(id, reply);
+    if (this.answers.size > KEPT_ANSWERS) {
+      const [oldest] = this.answers.keys();
+      if (oldest !== undefined) this.answers.delete(oldest);
+    }
+    this.settle(id, reply);
+  }
+
+  private settle(id: string, reply: Reply): void {
+    const waiting = this.waiting.get(id);
+    if (!waiting) return;
+    this.waiting.delete(id);
+    clearTimeout(waiting.timer);
+    waiting.settle(reply);
+  }
+}
--- /dev/null
+++ b/packages/links/src/frame_link.ts
@@ -0,0 +1,106 @@
+/** Client side of a framed connection; reopens by itself. */
+import {WebSocket} from 'ws';
+
+import {FrameChannel} from './frame_channel.js';
+import {FRAME_PATH, FRAME_TIMING, MAX_UNSENT_BYTES} from './frame_options.js';
+
+/** Options of a link. */
+export interface FrameLinkOptions<M> {
+  /** `IP:PORT`. */
+  readonly address: string;
+  readonly onMessage: (message: M) => void;
+  readonly onUp: () => void;
+  readonly onDown: () => void;
+  readonly onMalformed: (err: unknown) => void;
+}
+
+/** Shortest and longest pause between two attempts to connect. */
+const RECONNECT_MIN_MS = 50;
+const RECONNECT_MAX_MS = 500;
+
+/** One long-lived connection to a server of frames. */
+export class FrameLink<M> {
+  readonly name: string;
+  private channel: FrameChannel<M> | null = null;
+  private connecting: WebSocket | null = null;
+  private timer: NodeJS.Timeout | null = null;
+  private attempts = 0;
+  private closed = false;
+
+  constructor(private readonly options: FrameLinkOptions<M>) {
+    this.name = `frame-link ${options.address}`;
+    this.connect();
+  }
+
+  get isUp(): boolean {
+    return this.channel !== null;
+  }
+
+  /** Sends a message if the connection is up; it may still be lost. */
+  send(message: M): boolean {
+    if (!this.channel) return false;
+    this.channel.send(message);
+    return true;
+  }
+
+  /** Replaces a connection whose replies are overdue. */
+  replace(): void {
+    this.channel?.close();
+  }
+
+  close(): void {
+    this.closed = true;
+    if (this.timer) clearTimeout(this.timer);
+    this.connecting?.terminate();
+    this.channel?.close();
+  }
+
+  private connect(): void {
+    this.timer = null;
+    const socket = new WebSocket(`ws://${this.options.address}${FRAME_PATH}`, {
+      handshakeTimeout: FRAME_TIMING.connectMs,
+      perMessageDeflate: false,
+    });
+    this.connecting = socket;
+    socket.once('open', () => this.opened(socket));
+    socket.once('error', () => this.failed(socket));
+  }
+
+  private opened(socket: WebSocket): void {
+    this.connecting = null;
+    if (this.closed) return socket.terminate();
+    this.attempts = 0;
+    const {onMessage, onMalformed} = this.options;
+    this.channel = new FrameChannel<M>(socket, {
+      pingAfterMs: FRAME_TIMING.pingAfterMs,
+      silenceMs: FRAME_TIMING.silenceMs,
+      maxUnsentBytes: MAX_UNSENT_BYTES,
+      onMessage,
+      onMalformed,
+      onClose: () => this.lost(),
+    });
+    this.options.onUp();
+  }
+
+  private failed(socket: WebSocket): void {
+    if (this.connecting !== socket) return;
+    this.connecting = null;
+    socket.terminate();
+    this.retry();
+  }
+
+  private lost(): void {
+    this.channel = null;
+    if (!this.closed) this.options.onDown();
+    this.retry();
+  }
+
+  private retry(): void {
+    if (this.closed || this.timer) return;
+    const delay = RECONNECT_MIN_MS * 2 ** this.attempts++;
+    this.timer = setTimeout(
+      () => this.connect(),
+      Math.min(delay, RECONNECT_MAX_MS),
+    );
+  }
+}
--- a/packages/links/src/index.ts
+++ b/packages/links/src/index.ts
@@ -7,6 +7,9 @@
   UpstreamNotReachedError,
   UpstreamProtocolError,
 } from './errors.js';
+export {FrameChannel, type FrameChannelOptions} from './frame_channel.js';
+export {FrameLink, type FrameLinkOptions} from './frame_link.js';
+export {FrameServer, type FrameServerOptions} from './frame_server.js';
 export {type LinkBytes, LinkTraffic} from './link_traffic.js';
 export {LogOutbox, type StreamConnection} from './log_outbox.js';
 export {PEER_ENCODER} from './peer_encoder.js';
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,9 +1,11 @@
 export {type Closable, CloseError, LifecycleManager} from './lifecycle.js';
+export {limitLogger, type LogLimit} from './limited_logger.js';
 export {
   createLogger,
   type LogFields,
   type Logger,
   type LogLevel,
+  type LogOutput,
 } from './logger.js';
 export {MessageTask} from './message_task.js';
 export {
@@ -13,3 +15,7 @@
   NullMetrics,
   type StatsdOptions,
 } from './metrics.js';
+export {
+  createPrometheusMetrics,
+  type PrometheusOptions,
+} from './prometheus_metrics.js';
--- a/packages/runtime/src/logger.ts
+++ b/packages/runtime/src/logger.ts
@@ -40,8 +40,50 @@
   }
 }
 
-/** Creates a logger that writes JSON lines to standard error. */
-export function createLogger(level: LogLevel, base: LogFields = {}): Logger {
+/** Where log lines go. */
+export interface LogOutput {
+  /**
+   * `stderr` writes each line before the call returns. `stdout` never blocks:
+   * lines are written in the background, and dropped while the reader lags.
+   */
+  readonly destination: 'stderr' | 'stdout';
+}
+
+/** Unwritten bytes beyond which lines are dropped. */
+const MAX_UNWRITTEN_BYTES = 1024 * 1024;
+
+/** Lines are collected up to this size, so that a write serves many. */
+const WRITE_BYTES = 8_192;
+
+/** Longest time in ms that a line is collected. */
+const FLUSH_PERIOD_MS = 250;
+
+function openOutput({destination}: LogOutput): pino.DestinationStream {
+  if (destination === 'stderr') return pino.destination({dest: 2, sync: true});
+  const output = pino.destination({
+    dest: 1,
+    sync: false,
+    minLength: WRITE_BYTES,
+    maxLength: MAX_UNWRITTEN_BYTES,
+  });
+  output.on('error', () => undefined);
+  setInterval(() => output.flush(), FLUSH_PERIOD_MS).unref();
+  process.on('exit', () => {
+    try {
+      output.flushSync();
+    } catch {
+      // The reader is gone; nothing is left to tell it.
+    }
+  });
+  return output;
+}
+
+/** Creates a logger that writes JSON lines, to standard error by default. */
+export function createLogger(
+  level: LogLevel,
+  base: LogFields = {},
+  output: LogOutput = {destination: 'stderr'},
+): Logger {
   const options: pino.LoggerOptions = {
     level,
     base,
@@ -49,5 +91,5 @@
     formatters: {level: label => ({level: label})},
     serializers: {err: pino.stdSerializers.err},
   };
-  return new PinoLogger(pino(options, pino.destination({dest: 2, sync: true})));
+  return new PinoLogger(pino(options, openOutput(output)));
 }
--- /dev/null
+++ b/packages/runtime/src/prometheus_metrics.ts
@@ -0,0 +1,108 @@
+/** Metrics that are fetched over HTTP in the Prometheus text format. */
+import {createServer, type Server} from 'node:http';
+
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+
+import {Metrics, type MetricTags} from './metrics.js';
+
+/** Options of the endpoint. */
+export interface PrometheusOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly path: string;
+  /** Told when the port can't be opened; metrics then are only collected. */
+  readonly onError: (err: Error) => void;
+}
+
+/** Bounds of the histograms in ms, about 1.6 times apart. */
+const BUCKETS_MS = [
+  1, 2, 3, 5, 8, 12, 20, 32, 50, 80, 125, 200, 320, 500, 800, 1250, 2000, 3200,
+  5000,
+];
+
+/** Collects samples under `mustardferry_NAME`, dots as underscores. */
+class PrometheusMetrics extends Metrics {
+  private readonly registry = new Registry();
+  private readonly counters = new Map<string, Counter>();
+  private readonly gauges = new Map<string, Gauge>();
+  private readonly histograms = new Map<string, Histogram>();
+  private readonly server: Server;
+
+  constructor(private readonly options: PrometheusOptions) {
+    super();
+    this.server = createServer((req, res) => {
+      if (req.url !== options.path) {
+        res.writeHead(404).end();
+        return;
+      }
+      this.registry.metrics().then(
+        text => res.writeHead(200, {'content-type': 'text/plain'}).end(text),
+        (err: Error) => {
+          options.onError(err);
+          res.writeHead(500).end();
+        },
+      );
+    });
+    this.server.on('error', options.onError);
+  }
+
+  listen(): Promise<void> {
+    const {host, port} = this.options;
+    return new Promise(resolve => {
+      this.server.once('error', () => resolve());
+      this.server.listen(port, host, () => resolve());
+    });
+  }
+
+  override increment(name: string, value = 1, tags: MetricTags = {}): void {
+    let counter = this.counters.get(name);
+    if (!counter) {
+      counter = new Counter(this.described(`${name}_total`, tags));
+      this.counters.set(name, counter);
+    }
+    counter.inc(tags, value);
+  }
+
+  override gauge(name: string, value: number, tags: MetricTags = {}): void {
+    let gauge = this.gauges.get(name);
+    if (!gauge) {
+      gauge = new Gauge(this.described(name, tags));
+      this.gauges.set(name, gauge);
+    }
+    gauge.set(tags, value);
+  }
+
+  override timing(name: string, ms: number, tags: MetricTags = {}): void {
+    let histogram = this.histograms.get(name);
+    if (!histogram) {
+      histogram = new Histogram({
+        ...this.described(`${name}_ms`, tags),
+        buckets: BUCKETS_MS,
+      });
+      this.histograms.set(name, histogram);
+    }
+    histogram.observe(tags, ms);
+  }
+
+  override close(): Promise<void> {
+    return new Promise(resolve => this.server.close(() => resolve()));
+  }
+
+  private described(name: string, tags: MetricTags) {
+    return {
+      name: `mustardferry_${name.replaceAll('.', '_')}`,
+      help: `See docs/metrics.md`,
+      labelNames: Object.keys(tags),
+      registers: [this.registry],
+    };
+  }
+}
+
+/** Creates the sink and opens its endpoint. */
+export async function createPrometheusMetrics(
+  options: PrometheusOptions,
+): Promise<Metrics> {
+  const metrics = new PrometheusMetrics(options);
+  await metrics.listen();
+  return metrics;
+}
--- a/packages/storage/src/data_folder.ts
+++ b/packages/storage/src/data_folder.ts
@@ -19,6 +19,10 @@
   readonly path: string;
   /** Name of the instance that owns the folder. */
   readonly instance: string;
+  /** Whether to lock the folder against other processes. Default true. */
+  readonly exclusive?: boolean;
+  /** Id of a folder that is used for the first time. Random by default. */
+  readonly newId?: string;
 }
 
 interface Identity {
@@ -85,7 +89,8 @@
       `${path} has no ${IDENTITY_NAME} but holds ${others.join(', ')}`,
     );
   }
-  const identity: Identity = {format: 1, instance, id: randomUUID()};
+  const id = options.newId ?? randomUUID();
+  const identity: Identity = {format: 1, instance, id};
   const content = Buffer.from(`${JSON.stringify(identity)}\n`);
   await writeFileDurably(files, path, IDENTITY_NAME, content);
   return identity;
@@ -97,7 +102,7 @@
     private readonly options: DataFolderOptions,
     /** Random id, made when the folder was first used. */
     readonly id: string,
-    private readonly server: Server,
+    private readonly server: Server | undefined,
   ) {}
 
   /**
@@ -113,7 +118,9 @@
     let server: Server | undefined;
     try {
       await files.makeFolder(path);
-      server = await lock(await files.identityOf(path), path);
+      if (options.exclusive ?? true) {
+        server = await lock(await files.identityOf(path), path);
+      }
       const {id} = await identify(options);
       return new DataFolder(options, id, server);
     } catch (err) {
@@ -133,6 +140,8 @@
 
   /** Releases the lock. */
   close(): Promise<void> {
-    return new Promise(resolve => this.server.close(() => resolve()));
+    const {server} = this;
+    if (!server) return Promise.resolve();
+    return new Promise(resolve => server.close(() => resolve()));
   }
 }
--- a/scripts/typecheck_tests.mjs
+++ b/scripts/typecheck_tests.mjs
@@ -4,7 +4,7 @@
 
 let failed = false;
 const folders = readdirSync('packages').map(name => `packages/${name}`);
-for (const folder of [...folders, 'tests']) {
+for (const folder of [...folders, 'platform', 'tests']) {
   const project = `${folder}/tsconfig.json`;
   if (!existsSync(project)) continue;
   const result = spawnSync('npx', ['tsc', '-p', project], {stdio: 'inherit'});
