--- a/packages/dispatch/src/instance/leader_client.ts
+++ b/packages/dispatch/src/instance/leader_client.ts
@@ -36,6 +36,9 @@
   view: GroupView | null;
 }
 
+/** Time in ms that connections take to come back after a reset. */
+const ISOLATION_GRACE_MS = 300;
+
 /** Pause in ms before a call is repeated, unless the view changes sooner. */
 const REPEAT_PAUSE_MS = 40;
 
@@ -46,6 +49,8 @@
   private readonly waiters = new Set<() => void>();
   private nextId = 1;
   private known: GroupView | null = null;
+  /** Since when too few voters are connected; null while there are enough. */
+  private cutOffAt: number | null = performance.now();
 
   constructor(private readonly options: LeaderClientOptions) {
     for (const seed of options.seeds) this.connect(seed);
@@ -61,6 +66,16 @@
     return this.leader !== null;
   }
 
+  /**
+   * Whether too few voters are connected for any of them to lead, as far as
+   * this instance can see, and have been for a while.
+   */
+  get isIsolated(): boolean {
+    const {cutOffAt} = this;
+    if (cutOffAt === null) return false;
+    return performance.now() - cutOffAt >= ISOLATION_GRACE_MS;
+  }
+
   /** Addresses of all members that were heard of. */
   get members(): readonly string[] {
     return [...this.peers.keys()];
@@ -90,7 +105,8 @@
     let mayHaveRun = false;
     for (;;) {
       const left = deadline - performance.now();
-      if (left <= 0) return {type: 'unanswered', mayHaveRun};
+      const hopeless = this.options.local === undefined && this.isIsolated;
+      if (left <= 0 || hopeless) return {type: 'unanswered', mayHaveRun};
       const reply = await this.attempt(call, left);
       if (typeof reply === 'object' && isFinal(reply)) {
         return {type: 'replied', reply};
@@ -99,7 +115,8 @@
       if (typeof reply === 'object' && reply.type === 'interrupted') {
         mayHaveRun = true;
       }
-      const pause = reply === 'no-leader' ? left : REPEAT_PAUSE_MS;
+      const pause =
+        reply === 'no-leader' ? ISOLATION_GRACE_MS : REPEAT_PAUSE_MS;
       await this.changed(Math.min(pause, deadline - performance.now()));
     }
   }
@@ -207,6 +224,10 @@
   }
 
   private notify(): void {
+    const voters = this.known?.voters ?? [];
+    const reached = voters.filter(v => this.peers.get(v)?.link.isUp).length;
+    if (reached * 2 > voters.length) this.cutOffAt = null;
+    else this.cutOffAt ??= performance.now();
     for (const waiter of [...this.waiters]) waiter();
   }
 
--- a/packages/dispatch/src/instance/member.ts
+++ b/packages/dispatch/src/instance/member.ts
@@ -2,11 +2,10 @@
 import {
   DiskLogStorage,
   type LogMessage,
-  LogTransport,
   type MemberId,
   ReplicatedLog,
 } from '@mustardferry/coordination';
-import {type FrameChannel,FrameServer} from '@mustardferry/links';
+import {type FrameChannel, FrameServer} from '@mustardferry/links';
 import {
   LifecycleManager,
   type Logger,
@@ -21,7 +20,10 @@
 import {Owner} from '../owner/owner.js';
 import {sleep} from '../owner/waiting.js';
 import type {UpstreamPort} from '../upstreams/upstream_port.js';
+import {currentView} from './group_view.js';
+import {FIRST_INCARNATION, initialVoters} from './initial_voters.js';
 import {type CallOutcome, LeaderClient} from './leader_client.js';
+import {LinkTransport} from './link_transport.js';
 import {PauseDetector} from './pause_detector.js';
 
 /** Options of a member. Durations are in milliseconds. */
@@ -42,11 +44,11 @@
   readonly keepEndedMs: number;
 }
 
-/** Incarnation of the voters that the group begins with. */
-const FIRST_INCARNATION = 'first';
+/** Interval of heartbeats in ms. */
+const HEARTBEAT_MS = 60;
 
-/** Shortest election timeout in ms: four heartbeats and a slow sync. */
-const ELECTION_TIMEOUT_MS = 500;
+/** Shortest election timeout in ms: five heartbeats. */
+const ELECTION_TIMEOUT_MS = 300;
 
 /** Segment size of the journal; a tenth of the smallest disk. */
 const SEGMENT_BYTES = 8 * 1024 * 1024;
@@ -62,20 +64,6 @@
 
 type Log = ReplicatedLog<Command, CommandResult>;
 
-/** Carries messages of the log over the links between members. */
-class LinkTransport extends LogTransport<Command> {
-  constructor(
-    private readonly self: MemberId,
-    private readonly client: () => LeaderClient,
-  ) {
-    super();
-  }
-
-  override send(to: MemberId, message: LogMessage<Command>): void {
-    this.client().send(to.name, {type: 'log', from: this.self, message});
-  }
-}
-
 /** Runs the log, and the owner while this member leads. */
 export class Member {
   readonly name = 'member';
@@ -185,7 +173,11 @@
   /** Opens the log, for a member that has a vote or had one. */
   private async joinGroup(storage: DiskLogStorage<Command>): Promise<void> {
     const {seeds, address, logger} = this.options;
-    const voters = await this.findVoters(storage);
+    const voters = await initialVoters({
+      ...this.options,
+      hasLog: storage.hasContent,
+      told: () => this.client.view?.voters ?? [],
+    });
     if (!voters.some(({name}) => name === address)) {
       logger.info('member-without-vote', {seeds});
       return;
@@ -197,6 +189,7 @@
       storage,
       transport: new LinkTransport(this.self, () => this.client),
       machine: this.state,
+      heartbeatMs: HEARTBEAT_MS,
       electionTimeoutMs: ELECTION_TIMEOUT_MS,
       snapshotEveryEntries: SNAPSHOT_EVERY_ENTRIES,
       onFailure: err => this.failed(err),
@@ -211,24 +204,6 @@
     });
   }
 
-  /**
-   * Voters to begin with; a recovered log overrides them. A member that lost
-   * its disk asks the others whether its address has a vote.
-   */
-  private async findVoters(
-    storage: DiskLogStorage<Command>,
-  ): Promise<readonly MemberId[]> {
-    const {seeds, firstStart} = this.options;
-    const named = (names: readonly string[]) =>
-      names.map(name => ({name, incarnation: FIRST_INCARNATION}));
-    if (firstStart || storage.hasContent) return named(seeds);
-    for (;;) {
-      const voters = this.client.view?.voters ?? [];
-      if (voters.length > 0) return named(voters);
-      await sleep(VIEW_PERIOD_MS);
-    }
-  }
-
   private failed(err: unknown): void {
     this.options.logger.error('member-failed', {err});
     // The process restarts and recovers from what was synced.
@@ -258,8 +233,7 @@
   }
 
   private greet(channel: FrameChannel<PeerMessage>): void {
-    const view = this.currentView();
-    if (view) channel.send({type: 'view', view});
+    channel.send({type: 'view', view: this.currentView()});
   }
 
   private async receive(
@@ -294,36 +268,18 @@
     this.log?.setRegistered(member);
   }
 
-  private currentView(): GroupView | null {
-    const {log, client, options} = this;
-    const status = log?.status();
-    const voters =
-      status?.voters.map(({name}) => name) ?? client.view?.voters ?? [];
-    const members = [
-      ...new Set([options.address, ...voters, ...this.others]),
-    ].sort();
-    if (!status || status.role === 'learner') {
-      const {view} = client;
-      return {
-        term: view?.term ?? 0,
-        leader: view?.leader ?? null,
-        voters,
-        members,
-      };
-    }
-    const {term, leader} = status;
-    const ready = leader?.name !== options.address || this.owner !== null;
-    return {
-      term,
-      leader: ready ? (leader?.name ?? null) : null,
-      voters,
-      members,
-    };
+  private currentView(): GroupView {
+    return currentView({
+      address: this.options.address,
+      status: this.log?.status() ?? null,
+      told: this.client.view,
+      others: [...this.others],
+      leads: this.owner !== null,
+    });
   }
 
   private tellView(): void {
     const view = this.currentView();
-    if (!view) return;
     const text = JSON.stringify(view);
     if (text === this.told) return;
     this.told = text;
--- a/packages/dispatch/src/owner/board_types.ts
+++ b/packages/dispatch/src/owner/board_types.ts
@@ -34,6 +34,8 @@
   | 'blocked'
   /** May run on an upstream that has not answered this leader yet. */
   | 'unknown'
+  /** Waits for a run of an earlier submission of its job to end. */
+  | 'held'
   | 'ready'
   | 'active'
   /** Its last run has ended; no other follows. */
@@ -66,7 +68,7 @@
   readonly tasks: readonly (readonly BoardTask[])[];
   /** Tasks not done, by step. */
   readonly remaining: number[];
-  /** Whether a start order was given for any task. */
+  /** Whether an upstream may have begun a task. */
   started: boolean;
   closed: boolean;
 }
--- a/packages/dispatch/src/owner/call_handler.ts
+++ b/packages/dispatch/src/owner/call_handler.ts
@@ -214,7 +214,7 @@
   }
 
   private async cancel(path: string): Promise<Reply> {
-    const {state, propose, board, dispatcher, logger} = this.options;
+    const {state, propose, dispatcher, logger} = this.options;
     const id = lastSegment(path);
     await this.submitting.get(id);
     const record = state.jobs.get(id);
@@ -225,8 +225,7 @@
         job: id,
         ageMs: Date.now() - record.job.admittedAt,
       });
-      dispatcher.stopRuns(board.close(id));
-      dispatcher.schedule();
+      dispatcher.drop(id);
     }
     const now = state.jobs.get(id);
     return {type: 'state', state: now ? this.stateOf(now) : 'cancelled'};
--- a/packages/dispatch/src/owner/dispatcher.ts
+++ b/packages/dispatch/src/owner/dispatcher.ts
@@ -1,4 +1,4 @@
-/** Starts tasks on upstreams and follows their runs. */
+/** Follows the runs on all upstreams of an owner. */
 import {OutlierEjection} from '@mustardferry/decisions';
 import type {Logger, Metrics} from '@mustardferry/runtime';
 
@@ -11,15 +11,14 @@
   RunEnd,
   StartRefusal,
 } from '../upstreams/upstream_port.js';
-import type {BoardJob, BoardTask, Run} from './board_types.js';
-import {PlacementPolicy} from './placement.js';
-import type {OfferResult} from './ready_queue.js';
+import type {BoardTask, Run} from './board_types.js';
+import {FoundRuns} from './found_runs.js';
+import {LingeringRuns} from './lingering_runs.js';
+import {RunStarter} from './run_starter.js';
+import type {Contact, SessionEvents} from './session_types.js';
 import type {TaskBoard} from './task_board.js';
-import type {
-  Contact,
-  SessionEvents,
-  UpstreamSession,
-} from './upstream_session.js';
+import {TaskOutcomes} from './task_outcomes.js';
+import type {UpstreamSession} from './upstream_session.js';
 import {UpstreamSpeed} from './upstream_speed.js';
 
 /** Proposes a command to the group's log. */
@@ -49,9 +48,6 @@
 /** Pause in ms before an upstream that refused for room is offered more. */
 const FULL_PAUSE_MS = 30;
 
-/** Upstreams that a task remembers to avoid. */
-const MAX_AVOIDED = 4;
-
 /** Step of the run number after a refusal as too old. */
 const RUN_NUMBER_STEP = 16;
 
@@ -61,78 +57,109 @@
 /** First probe of an ejected upstream in ms; troubles last seconds. */
 const FIRST_PROBE_MS = 1_000;
 
-/** Owns the sessions' events and the choice of what starts where. */
+/** Largest part of a pool that may be ejected at once. */
+const MAX_EJECTED_FRACTION = 0.4;
+
+/** Owns the sessions' events. */
 export class Dispatcher implements SessionEvents {
-  readonly speed = new UpstreamSpeed();
-  readonly health = new OutlierEjection({
-    consecutiveFailures: EJECT_AFTER_FAILURES,
-    firstProbeMs: FIRST_PROBE_MS,
-    maxEjectedFraction: 0.4,
-  });
   /** Jobs of which ends were seen before the job was known. */
   readonly earlyEndJobs = new Set<string>();
-  /** Runs found whose job isn't known, by task. */
-  readonly orphans = new Map<
-    string,
-    {readonly session: UpstreamSession; readonly active: ActiveRun}
-  >();
   /** Told of the end of a job that isn't replicated. */
   onTransientEnd: (job: string, state: 'completed' | 'failed') => void = () =>
     undefined;
-  private readonly pools = new Map<string, UpstreamSession[]>();
-  private readonly placement = new PlacementPolicy(this.speed, this.health);
-  private scheduled = false;
-  private enabled = false;
-
-  constructor(private readonly options: DispatcherOptions) {}
+  private readonly speed = new UpstreamSpeed();
+  private readonly health = new OutlierEjection({
+    consecutiveFailures: EJECT_AFTER_FAILURES,
+    firstProbeMs: FIRST_PROBE_MS,
+    maxEjectedFraction: MAX_EJECTED_FRACTION,
+  });
+  private readonly lingering = new LingeringRuns();
+  private readonly found: FoundRuns;
+  private readonly starter: RunStarter;
+  private readonly outcomes: TaskOutcomes;
+
+  constructor(private readonly options: DispatcherOptions) {
+    const {speed, health, lingering} = this;
+    this.found = new FoundRuns({
+      ...options,
+      isSettled: () => this.isEnabled,
+    });
+    this.starter = new RunStarter({...options, speed, health});
+    this.outcomes = new TaskOutcomes({
+      ...options,
+      speed,
+      health,
+      lingering,
+      onTransientEnd: (job, state) => this.onTransientEnd(job, state),
+    });
+  }
 
   /** Ends all sessions without orders; their runs are the next owner's. */
   close(): void {
-    this.enabled = false;
-    for (const session of [...this.pools.values()].flat()) session.close();
-    this.pools.clear();
+    this.starter.disable();
+    for (const session of this.starter.sessions) session.close();
   }
 
   /** Allows starts, once nothing of an earlier owner can be running unseen. */
   enable(): void {
-    this.enabled = true;
-    this.schedule();
+    this.starter.enable();
   }
 
   get isEnabled(): boolean {
-    return this.enabled;
+    return this.starter.isEnabled;
+  }
+
+  /** Starts what fits, after the current turn. */
+  schedule(): void {
+    this.starter.schedule();
   }
 
   addSession(session: UpstreamSession): void {
-    const {pool} = session.record;
-    this.pools.set(pool, [...(this.pools.get(pool) ?? []), session]);
+    this.starter.add(session);
     this.health.add(session.key);
   }
 
-  /** Removes a session; `gone` tells that nothing runs there any more. */
+  /** Removes the session of a life that has ended, and with it its runs. */
   removeSession(session: UpstreamSession, cause: string): void {
-    const {pool} = session.record;
-    const others = (this.pools.get(pool) ?? []).filter(s => s !== session);
-    this.pools.set(pool, others);
+    this.starter.remove(session);
     this.health.remove(session.key);
     this.speed.forget(session.key);
-    for (const run of [...session.runs.values()]) this.runLost(run, cause);
     session.close();
+    for (const run of session.runs.all) {
+      session.runs.remove(run);
+      this.runLost(run, cause);
+    }
   }
 
-  /** Starts what fits, after the current turn. */
-  schedule(): void {
-    if (this.scheduled || !this.enabled) return;
-    this.scheduled = true;
-    queueMicrotask(() => {
-      this.scheduled = false;
-      if (this.enabled && this.options.mayOrder()) this.startReady();
-    });
+  /** Adds a job and starts what it can. */
+  place(job: AdmittedJob, queue: QueueConfig): void {
+    const {board, state} = this.options;
+    const created = board.admit(job, queue, performance.now(), task =>
+      this.lingering.get(task),
+    );
+    for (const {task, outcome} of state.endsBefore(job.id)) {
+      const known = board.task(taskKey(task));
+      if (known && outcome === 'done') board.taskDone(known);
+    }
+    this.found.adoptFor(created);
+    this.schedule();
+    if (!job.durable) this.outcomes.endTransient(created);
   }
 
-  /** Orders the end of runs whose job is closed. */
-  stopRuns(runs: readonly Run[]): void {
-    for (const run of runs) void run.session.stop(run);
+  /** Removes a job that is not to go on, and stops its runs. */
+  drop(job: string): void {
+    this.outcomes.stopRuns(this.options.board.close(job));
+    this.schedule();
+  }
+
+  /** Runs found whose jobs are not known. */
+  get orphanCount(): number {
+    return this.found.orphanCount;
+  }
+
+  /** Stops the runs whose jobs were not submitted again. */
+  dropOrphans(): void {
+    this.found.dropOrphans();
   }
 
   fenced(session: UpstreamSession): void {
@@ -141,19 +168,16 @@
 
   contactChanged(session: UpstreamSession, from: Contact, cause: string): void {
     const {contact, record, runs} = session;
-    const fields = {
+    const {logger, metrics} = this.options;
+    const level = contact === 'live' ? 'info' : 'warn';
+    logger[level]('upstream-contact', {
       upstream: record.id,
       from,
       to: contact,
       cause,
       runs: runs.size,
-    };
-    if (contact === 'live')
-      this.options.logger.info('upstream-contact', fields);
-    else this.options.logger.warn('upstream-contact', fields);
-    this.options.metrics.increment('upstream.contact_changes', 1, {
-      to: contact,
     });
+    metrics.increment('upstream.contact_changes', 1, {to: contact});
     if (contact === 'live') this.schedule();
   }
 
@@ -164,28 +188,19 @@
     const counted: CountedEnd[] = [];
     for (const end of ends) {
       const {task, run, outcome} = end;
-      this.orphans.delete(taskKey(task));
-      const transient = this.isTransient(task.job);
+      const key = taskKey(task);
+      this.found.ended(key);
+      const known = this.options.board.task(key);
+      const transient =
+        known?.job.admitted.durable === false ||
+        this.lingering.find(key, session.key, run) !== undefined;
       if (!transient && (outcome === 'done' || outcome === 'failed')) {
         counted.push({task, run, outcome});
       }
-      this.endedOne(session, end);
+      this.endedOne(session, end, known);
     }
     this.schedule();
-    if (counted.length === 0) return true;
-    const upTo = Math.max(...ends.map(end => end.sequence));
-    const {id, startedAt} = session.record;
-    const life = {id, startedAt};
-    const at = Date.now();
-    const {propose} = this.options;
-    try {
-      await propose({type: 'ends', at, life, upTo, ends: counted});
-    } catch {
-      // Logged by the proposer; the ends stay listed for the next owner.
-      return false;
-    }
-    this.closeEnded(counted);
-    return true;
+    return counted.length === 0 || this.commitEnds(session, ends, counted);
   }
 
   runLost(run: Run, cause: string): void {
@@ -198,9 +213,11 @@
       cause,
     });
     this.options.metrics.increment('runs.lost');
-    if (task.run !== run) return;
-    this.avoid(task, session);
-    this.options.board.requeue(task);
+    this.outcomes.release(run);
+    if (task.run === run) {
+      this.outcomes.avoid(task, session);
+      this.options.board.requeue(task);
+    }
     this.schedule();
   }
 
@@ -214,40 +231,19 @@
       reason,
     });
     this.options.metrics.increment('starts.refused', 1, {reason});
+    this.outcomes.release(run);
+    const isFull = reason === 'no-room';
+    if (isFull) session.fullUntil = performance.now() + FULL_PAUSE_MS;
     if (reason === 'older-run') task.lastRun += RUN_NUMBER_STEP;
-    if (reason === 'no-room')
-      session.fullUntil = performance.now() + FULL_PAUSE_MS;
-    if (reason === 'unhealthy' || reason === 'not-sent')
-      this.avoid(task, session);
+    if (reason === 'unhealthy' || reason === 'not-sent') {
+      this.outcomes.avoid(task, session);
+    }
     if (task.run === run) this.options.board.requeue(task);
-    setTimeout(() => this.schedule(), reason === 'no-room' ? FULL_PAUSE_MS : 1);
-  }
-
-  started(): void {
-    // The job counts as started since the order was given.
+    setTimeout(() => this.schedule(), isFull ? FULL_PAUSE_MS : 1);
   }
 
   foundRun(session: UpstreamSession, active: ActiveRun): void {
-    const task = this.options.board.task(taskKey(active.task));
-    if (task?.phase === 'unknown' || (task && this.isOwnOrphan(task))) {
-      this.adopt(task, session, active);
-      return;
-    }
-    const known = task || this.options.state.jobs.has(active.task.job);
-    if (known || this.enabled) {
-      this.options.logger.warn('stray-run-stopped', {
-        job: active.task.job,
-        run: active.run,
-        upstream: session.record.id,
-      });
-      void session.forbid(active);
-      return;
-    }
-    this.orphans.set(taskKey(active.task), {session, active});
-  }
-
-  progressed(): void {
-    // The ends and runs of the answer were handled one by one.
+    this.found.found(session, active);
   }
 
   otherLife(session: UpstreamSession, startedAt: number | undefined): void {
@@ -259,232 +255,42 @@
     this.options.onSuperseded();
   }
 
-  /** Adds a job and starts what it can. */
-  place(job: AdmittedJob, queue: QueueConfig): void {
-    const {board, state} = this.options;
-    const created = board.admit(job, queue, performance.now());
-    for (const {task, outcome} of state.endsBefore(job.id)) {
-      const known = board.task(taskKey(task));
-      if (known && outcome === 'done') board.taskDone(known);
-    }
-    for (const task of created.tasks.flat()) {
-      const orphan = this.orphans.get(task.key);
-      if (!orphan || task.phase !== 'ready') continue;
-      this.orphans.delete(task.key);
-      this.adopt(task, orphan.session, orphan.active);
-    }
-    this.schedule();
-    if (!job.durable) this.endTransient(created);
-  }
-
-  /** Takes over a run that an earlier owner started. */
-  adopt(task: BoardTask, session: UpstreamSession, active: ActiveRun): void {
-    const now = performance.now();
-    const run: Run = {
-      task,
-      number: active.run,
-      session,
-      startedAt: now,
-      phase: 'running',
-      confirmedAt: now,
-      stopAckedAt: Infinity,
-      percent: active.percent,
-    };
-    task.lastRun = Math.max(task.lastRun, active.run);
-    task.run = run;
-    task.phase = 'active';
-    task.job.started = true;
-    session.adopt(run);
-    this.options.logger.info('run-adopted', {
-      job: task.id.job,
-      task: task.key,
-      run: active.run,
-      upstream: session.record.id,
-    });
-  }
-
-  private isOwnOrphan(task: BoardTask): boolean {
-    return this.orphans.has(task.key) && task.phase !== 'active';
-  }
-
-  private startReady(): void {
-    const now = performance.now();
-    for (const [pool, queue] of this.options.board.readyQueues) {
-      if (queue.size === 0) continue;
-      const sessions = (this.pools.get(pool) ?? []).filter(s => s.accepts);
-      queue.offerAll(now, task => this.offer(task, sessions, now));
-    }
-  }
-
-  private offer(
-    task: BoardTask,
-    sessions: readonly UpstreamSession[],
-    now: number,
-  ): OfferResult {
-    const {remoteFactor} = this.options;
-    const input = {sessions, now, remoteFactor};
-    const found = this.placement.choose(task, input);
-    if (!found) {
-      if (task.avoid.length > 0 && sessions.length <= MAX_AVOIDED)
-        task.avoid = [];
-      return sessions.length === 0 ? 'full' : 'passed-over';
-    }
-    const {session, expectedMs, marginMs} = found;
-    const run: Run = {
-      task,
-      number: task.lastRun + 1,
-      session,
-      startedAt: now,
-      phase: 'starting',
-      confirmedAt: Infinity,
-      stopAckedAt: Infinity,
-      percent: 0,
-    };
-    task.lastRun = run.number;
-    task.run = run;
-    task.phase = 'active';
-    task.job.started = true;
-    this.options.logger.info('task-start', {
-      job: task.id.job,
-      task: task.key,
-      run: run.number,
-      upstream: session.record.id,
-      waitedMs: Math.round(now - task.job.since),
-      expectedMs: Math.round(expectedMs),
-      marginMs: Math.round(marginMs),
-    });
-    this.options.metrics.increment('starts');
-    this.health.probeStarted(session.key);
-    void session.start(run);
-    return 'placed';
-  }
-
-  private endedOne(session: UpstreamSession, end: RunEnd): void {
-    const key = taskKey(end.task);
-    const task = this.options.board.task(key);
-    if (!task) {
-      const isKnown = this.options.state.jobs.has(end.task.job);
-      if (!isKnown) this.earlyEndJobs.add(end.task.job);
-      return;
-    }
-    const run =
-      task.run?.session === session && task.run.number === end.run
-        ? task.run
-        : null;
-    const runMs = run ? performance.now() - run.startedAt : 0;
-    if (end.outcome !== 'done') {
-      this.options.logger.info('run-ended', {
-        job: end.task.job,
-        task: key,
-        run: end.run,
-        upstream: session.record.id,
-        outcome: end.outcome,
-        runMs: Math.round(runMs),
-      });
-    }
-    this.options.metrics.increment('runs.ended', 1, {outcome: end.outcome});
-    this.learn(session, end, task, runMs);
-    if (end.outcome === 'done') this.done(task, run);
-    else if (end.outcome === 'failed') this.failed(task, run, session);
-    else if (run) this.options.board.requeue(task);
-    if (!task.job.admitted.durable) this.endTransient(task.job);
-  }
-
-  /** Closes a job that isn't replicated once no task is left to run. */
-  private endTransient(job: BoardJob): void {
-    if (job.closed) return;
-    const {maxAttempts} = job.admitted;
-    const tasks = job.tasks.flat();
-    const failed = tasks.some(({failures}) => failures >= maxAttempts);
-    if (!failed && job.remaining.some(count => count > 0)) return;
-    const state = failed ? 'failed' : 'completed';
-    this.reportEnd(job, state);
-    this.stopRuns(this.options.board.close(job.admitted.id));
-    this.onTransientEnd(job.admitted.id, state);
-  }
-
-  private isTransient(job: string): boolean {
-    return this.options.board.job(job)?.admitted.durable === false;
-  }
-
-  private reportEnd(job: BoardJob, outcome: string): void {
-    const tookMs = performance.now() - job.since;
-    this.options.logger.info('job-ended', {
-      job: job.admitted.id,
-      queue: job.queue.name,
-      outcome,
-      tookMs: Math.round(tookMs),
-      objectiveMs: Math.round(job.objectiveMs),
-    });
-    this.options.metrics.timing('jobs.took', tookMs, {outcome});
-  }
-
-  private learn(
+  private endedOne(
     session: UpstreamSession,
-    {outcome}: RunEnd,
-    task: BoardTask,
-    runMs: number,
+    end: RunEnd,
+    task: BoardTask | undefined,
   ): void {
-    if (runMs <= 0 || (outcome !== 'done' && outcome !== 'failed')) return;
-    const expectedMs = task.step.declaredMs * this.speed.factor(session.key);
-    const ok = outcome === 'done';
-    const {step} = task;
-    const near =
-      step.dataRack === '' || session.record.labels.includes(step.dataRack);
-    const declaredMs = step.declaredMs * (near ? 1 : this.options.remoteFactor);
-    if (ok) this.speed.observe(session.key, runMs, declaredMs);
-    const result = {
-      upstream: session.key,
-      taskId: task.key,
-      ok,
-      runMs,
-      expectedMs,
-    };
-    for (const change of this.health.record(result, performance.now())) {
-      this.options.logger.warn('upstream-health', {
-        upstream: session.record.id,
-        state: change.state,
-        reason: change.reason,
-      });
+    if (task) {
+      this.outcomes.apply(session, end, task);
+      return;
     }
+    const {run, task: id} = end;
+    const earlier = this.lingering.find(taskKey(id), session.key, run);
+    if (earlier) this.outcomes.release(earlier);
+    else if (!this.options.state.jobs.has(id.job))
+      this.earlyEndJobs.add(id.job);
   }
 
-  private done(task: BoardTask, run: Run | null): void {
-    const other = task.run;
-    if (other && other !== run) void other.session.stop(other);
-    this.options.board.taskDone(task);
-  }
-
-  private failed(
-    task: BoardTask,
-    run: Run | null,
+  private async commitEnds(
     session: UpstreamSession,
-  ): void {
-    task.failures++;
-    this.avoid(task, session);
-    if (!run) return;
-    if (task.failures < task.job.admitted.maxAttempts) {
-      this.options.board.requeue(task);
-    } else {
-      task.run = null;
-      task.phase = 'ended';
-    }
-  }
-
-  /** Closes the jobs that the committed ends have completed or failed. */
-  private closeEnded(counted: readonly CountedEnd[]): void {
-    for (const job of new Set(counted.map(end => end.task.job))) {
-      const record = this.options.state.jobs.get(job);
-      if (!record || record.outcome === 'open') continue;
-      const open = this.options.board.job(job);
-      if (!open) continue;
-      this.reportEnd(open, record.outcome);
-      this.stopRuns(this.options.board.close(job));
+    ends: readonly RunEnd[],
+    counted: readonly CountedEnd[],
+  ): Promise<boolean> {
+    const {id, startedAt} = session.record;
+    const upTo = Math.max(...ends.map(end => end.sequence));
+    try {
+      await this.options.propose({
+        type: 'ends',
+        at: Date.now(),
+        life: {id, startedAt},
+        upTo,
+        ends: counted,
+      });
+    } catch {
+      // Logged by the proposer; the ends stay listed for the next owner.
+      return false;
     }
-  }
-
-  private avoid(task: BoardTask, session: UpstreamSession): void {
-    if (task.avoid.includes(session.key)) return;
-    task.avoid = [...task.avoid, session.key].slice(-MAX_AVOIDED);
+    this.outcomes.closeEnded(counted);
+    return true;
   }
 }
--- a/packages/dispatch/src/owner/owner.ts
+++ b/packages/dispatch/src/owner/owner.ts
@@ -8,7 +8,7 @@
 import type {Command, CommandResult} from '../jobs/commands.js';
 import type {QueueConfig} from '../jobs/configuration.js';
 import type {DispatchState} from '../jobs/dispatch_state.js';
-import {type AdmittedJob, taskKey} from '../jobs/job_types.js';
+import type {AdmittedJob} from '../jobs/job_types.js';
 import type {Call, Reply} from '../messages/calls.js';
 import type {UpstreamPort} from '../upstreams/upstream_port.js';
 import {CallHandler} from './call_handler.js';
@@ -36,6 +36,12 @@
   readonly wasPaused: () => boolean;
 }
 
+/**
+ * Leases are shorter than upstreams grant, so that the tasks of a lost upstream
+ * are free sooner; a hold that fails and its repetition still fit.
+ */
+const LONGEST_LEASE_MS = 700;
+
 /** Slowest clock of an upstream, and a margin for orders on their way. */
 const LEASE_STRETCH = 1.02;
 const SETTLE_MARGIN_MS = 80;
@@ -58,51 +64,40 @@
   private readonly calls: CallHandler;
   private readonly proposer: Proposer;
   private readonly timers: NodeJS.Timeout[] = [];
+  private readonly leaseMs: number;
   private unfenced = new Set<string>();
   private superseded = false;
   private closed = false;
   private sweeps = 0;
 
   constructor(private readonly options: OwnerOptions) {
-    const {log, state, logger, metrics, term} = options;
+    const {log, logger, term, port} = options;
+    const leaseMs = Math.min(options.leaseMs, LONGEST_LEASE_MS);
+    this.leaseMs = leaseMs;
     this.proposer = new Proposer(log, logger);
-    const propose = (command: Command) => this.proposer.propose(command);
-    const mayOrder = () => this.mayOrder();
-    this.dispatcher = new Dispatcher({
+    const shared = {
+      ...options,
       board: this.board,
-      state,
-      propose,
-      logger,
-      metrics,
-      mayOrder,
-      remoteFactor: options.remoteFactor,
+      propose: (command: Command) => this.proposer.propose(command),
+      mayOrder: () => this.mayOrder(),
+    };
+    this.dispatcher = new Dispatcher({
+      ...shared,
       onSuperseded: () => (this.superseded = true),
       onOtherLife: (session, startedAt) =>
         this.registrar.replaced(session, startedAt),
       onFenced: session => this.fenced(session.key),
     });
+    const {dispatcher} = this;
     this.registrar = new Registrar({
-      state,
-      dispatcher: this.dispatcher,
-      propose,
-      port: options.port,
-      logger,
+      ...shared,
+      dispatcher,
       token: term,
-      leaseMs: options.leaseMs,
-      mayOrder,
-    });
-    this.calls = new CallHandler({
-      state,
-      log,
-      propose,
-      board: this.board,
-      dispatcher: this.dispatcher,
-      registrar: this.registrar,
-      logger,
-      metrics,
-      term,
-      address: options.address,
+      leaseMs,
+      port,
     });
+    const {registrar} = this;
+    this.calls = new CallHandler({...shared, dispatcher, registrar});
     this.begin();
   }
 
@@ -129,7 +124,7 @@
   }
 
   private begin(): void {
-    const {state, term, logger, leaseMs} = this.options;
+    const {state, term, logger} = this.options;
     const now = performance.now();
     for (const record of state.jobs.values()) {
       if (record.outcome !== 'open') continue;
@@ -145,9 +140,11 @@
       openJobs: this.board.openCount,
       revision: state.queues?.configuration.revision,
     });
-    const settleMs = leaseMs * LEASE_STRETCH + SETTLE_MARGIN_MS;
+    const settleMs = this.leaseMs * LEASE_STRETCH + SETTLE_MARGIN_MS;
     this.timers.push(setTimeout(() => this.settle('leases over'), settleMs));
-    this.timers.push(setTimeout(() => this.dropOrphans(), ORPHAN_GRACE_MS));
+    this.timers.push(
+      setTimeout(() => this.dispatcher.dropOrphans(), ORPHAN_GRACE_MS),
+    );
     this.timers.push(setInterval(() => this.sweep(), SWEEP_MS));
     if (this.unfenced.size === 0) this.settle('no upstreams');
   }
@@ -166,24 +163,12 @@
     this.options.logger.info('owner-settled', {
       cause,
       unanswered: this.unfenced.size,
-      orphans: this.dispatcher.orphans.size,
+      orphans: this.dispatcher.orphanCount,
     });
     this.board.settle();
     this.dispatcher.enable();
   }
 
-  private dropOrphans(): void {
-    for (const [key, {session, active}] of this.dispatcher.orphans) {
-      this.dispatcher.orphans.delete(key);
-      this.options.logger.warn('stray-run-stopped', {
-        task: taskKey(active.task),
-        run: active.run,
-        upstream: session.record.id,
-      });
-      void session.forbid(active);
-    }
-  }
-
   private sweep(): void {
     if (!this.mayOrder()) return;
     this.registrar.sweep(performance.now());
--- a/packages/dispatch/src/owner/placement.ts
+++ b/packages/dispatch/src/owner/placement.ts
@@ -61,7 +61,7 @@
     now: number,
   ): boolean {
     const {step} = task;
-    if (!session.accepts || !session.use.fits(step)) return false;
+    if (!session.accepts || !session.runs.use.fits(step)) return false;
     if (session.fullUntil > now || task.avoid.includes(session.key)) {
       return false;
     }
@@ -102,12 +102,12 @@
       ? a.expectedMs > b.expectedMs
       : a.expectedMs < b.expectedMs;
   }
-  return a.session.use.freeCpuMillis > b.session.use.freeCpuMillis;
+  return a.session.runs.use.freeCpuMillis > b.session.runs.use.freeCpuMillis;
 }
 
 function runsOfStep(task: BoardTask, session: UpstreamSession): number {
   let count = 0;
-  for (const run of session.runs.values()) {
+  for (const run of session.runs.all) {
     const {id} = run.task;
     if (id.job === task.id.job && id.step === task.id.step) count++;
   }
@@ -117,9 +117,9 @@
 function usedShare(sessions: readonly UpstreamSession[]): number {
   let used = 0;
   let total = 0;
-  for (const {use, record, accepts} of sessions) {
+  for (const {runs, record, accepts} of sessions) {
     if (!accepts) continue;
-    used += use.usedCpuMillis;
+    used += runs.use.usedCpuMillis;
     total += record.cpuMillis;
   }
   return total === 0 ? 0 : used / total;
--- a/packages/dispatch/src/owner/registrar.ts
+++ b/packages/dispatch/src/owner/registrar.ts
@@ -69,7 +69,7 @@
       current.sequence = announcement.sequence;
       current.heard(announcement.clockMs);
       // Effective at once, so that no start follows the acknowledgement.
-      if (record.leaving) current.record = {...current.record, leaving: true};
+      if (record.leaving) current.update({...current.record, leaving: true});
     }
     if (known && sameRecord(known, record)) return;
     await propose({type: 'upstream', upstream: record});
@@ -114,8 +114,7 @@
     const record = recordOf(announcement);
     const session = this.sessions.get(record.id);
     if (session && session.key === lifeKey(record)) {
-      session.record = record;
-      session.use.update(record);
+      session.update(record);
       this.options.dispatcher.schedule();
       return;
     }
--- /dev/null
+++ b/packages/dispatch/src/owner/session_types.ts
@@ -0,0 +1,57 @@
+/** What a session with an upstream needs and reports. */
+import type {
+  ActiveRun,
+  RunEnd,
+  StartRefusal,
+  UpstreamPort,
+} from '../upstreams/upstream_port.js';
+import type {UpstreamRecord} from '../upstreams/upstream_types.js';
+import type {Run} from './board_types.js';
+import type {UpstreamSession} from './upstream_session.js';
+
+/** Contact with an upstream. */
+export type Contact =
+  /** Has not answered this owner yet. */
+  | 'fencing'
+  | 'live'
+  /** Two orders in a row had no answer; its leases are left to run out. */
+  | 'silent'
+  /** Its leases are over, so nothing of this owner runs there. */
+  | 'lost';
+
+/** What a session reports; methods must not throw. */
+export interface SessionEvents {
+  /** First answer under this owner's token. */
+  fenced(session: UpstreamSession): void;
+  contactChanged(session: UpstreamSession, from: Contact, cause: string): void;
+  /**
+   * Ends that were not seen before; resolves with whether they were committed
+   * and may be acknowledged.
+   */
+  ended(session: UpstreamSession, ends: readonly RunEnd[]): Promise<boolean>;
+  /** A run ended without an entry in the list of ends. */
+  runLost(run: Run, cause: string): void;
+  startRefused(run: Run, reason: StartRefusal | 'not-sent'): void;
+  /** A run that this session did not start. */
+  foundRun(session: UpstreamSession, active: ActiveRun): void;
+  /** A newer life answered at the address. */
+  otherLife(session: UpstreamSession, startedAt: number | undefined): void;
+  /** A higher token is in force on the upstream. */
+  superseded(session: UpstreamSession): void;
+}
+
+/** Options of a session. */
+export interface SessionOptions {
+  readonly record: UpstreamRecord;
+  /** Position up to which its ends are part of the replicated state. */
+  readonly acknowledged: number;
+  /** A reading of its clock; unknown after a change of the leader. */
+  readonly clockMs: number | undefined;
+  readonly token: number;
+  /** Longest lease in milliseconds. */
+  readonly leaseMs: number;
+  readonly port: UpstreamPort;
+  readonly events: SessionEvents;
+  /** Whether this process may give orders now. */
+  readonly mayOrder: () => boolean;
+}
--- a/packages/dispatch/src/owner/task_board.ts
+++ b/packages/dispatch/src/owner/task_board.ts
@@ -44,9 +44,24 @@
     return this.queues;
   }
 
-  /** Adds a job that this leader admits; nothing of it has run. */
-  admit(admitted: AdmittedJob, queue: QueueConfig, now: number): BoardJob {
+  /**
+   * Adds a job that this leader admits.
+   *
+   * @param lingering The run of an earlier submission that a task waits for.
+   */
+  admit(
+    admitted: AdmittedJob,
+    queue: QueueConfig,
+    now: number,
+    lingering: (task: string) => Run | undefined,
+  ): BoardJob {
     const job = this.create(admitted, queue, now, null);
+    for (const task of job.tasks.flat()) {
+      const earlier = lingering(task.key);
+      if (!earlier) continue;
+      task.phase = 'held';
+      task.lastRun = earlier.number;
+    }
     this.unblock(job);
     return job;
   }
--- /dev/null
+++ b/packages/dispatch/src/owner/task_outcomes.ts
@@ -0,0 +1,179 @@
+/** What the ends of runs mean for tasks, jobs and upstreams. */
+import type {OutlierEjection} from '@mustardferry/decisions';
+import type {Logger, Metrics} from '@mustardferry/runtime';
+
+import type {CountedEnd} from '../jobs/commands.js';
+import type {DispatchState} from '../jobs/dispatch_state.js';
+import {taskKey} from '../jobs/job_types.js';
+import type {RunEnd} from '../upstreams/upstream_port.js';
+import type {BoardJob, BoardTask, Run} from './board_types.js';
+import type {LingeringRuns} from './lingering_runs.js';
+import type {TaskBoard} from './task_board.js';
+import type {UpstreamSession} from './upstream_session.js';
+import type {UpstreamSpeed} from './upstream_speed.js';
+
+/** Options of the outcomes. */
+export interface TaskOutcomesOptions {
+  readonly board: TaskBoard;
+  readonly state: DispatchState;
+  readonly speed: UpstreamSpeed;
+  readonly health: OutlierEjection;
+  readonly lingering: LingeringRuns;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly remoteFactor: number;
+  /** Told of the end of a job that isn't replicated. */
+  readonly onTransientEnd: (job: string, state: 'completed' | 'failed') => void;
+}
+
+/** Upstreams that a task remembers to avoid. */
+const MAX_AVOIDED = 4;
+
+/** Applies ends to the board. */
+export class TaskOutcomes {
+  constructor(private readonly options: TaskOutcomesOptions) {}
+
+  /** Applies an end of a task on the board. */
+  apply(session: UpstreamSession, end: RunEnd, task: BoardTask): void {
+    const {lingering, board} = this.options;
+    const earlier = lingering.find(task.key, session.key, end.run);
+    if (earlier) {
+      this.release(earlier, end.outcome === 'done');
+      return;
+    }
+    const {run: current} = task;
+    const isCurrent =
+      current?.session === session && current.number === end.run;
+    const run = isCurrent ? current : null;
+    const runMs = run ? performance.now() - run.startedAt : 0;
+    task.job.started = true;
+    this.report(session, end, runMs);
+    this.learn(session, end, task, runMs);
+    if (end.outcome === 'done') this.done(task, run);
+    else if (end.outcome === 'failed') this.failed(task, run, session);
+    else if (run) board.requeue(task);
+    if (!task.job.admitted.durable) this.endTransient(task.job);
+  }
+
+  /** Frees a task that waited for a run of its job's earlier life. */
+  release(run: Run, isDone = false): void {
+    const {board, lingering} = this.options;
+    if (!lingering.remove(run)) return;
+    const task = board.task(run.task.key);
+    if (task?.phase !== 'held') return;
+    if (!isDone) return board.requeue(task);
+    board.taskDone(task);
+    if (!task.job.admitted.durable) this.endTransient(task.job);
+  }
+
+  /** Closes the jobs that committed ends have completed or failed. */
+  closeEnded(counted: readonly CountedEnd[]): void {
+    const {state, board} = this.options;
+    for (const id of new Set(counted.map(end => end.task.job))) {
+      const record = state.jobs.get(id);
+      const open = board.job(id);
+      if (!record || record.outcome === 'open' || !open) continue;
+      this.reportEnd(open, record.outcome);
+      this.stopRuns(board.close(id));
+    }
+  }
+
+  /** Closes a job that isn't replicated once no task is left to run. */
+  endTransient(job: BoardJob): void {
+    if (job.closed) return;
+    const {id, maxAttempts} = job.admitted;
+    const tasks = job.tasks.flat();
+    const failed = tasks.some(({failures}) => failures >= maxAttempts);
+    if (!failed && job.remaining.some(count => count > 0)) return;
+    const state = failed ? 'failed' : 'completed';
+    this.reportEnd(job, state);
+    this.stopRuns(this.options.board.close(id));
+    this.options.onTransientEnd(id, state);
+  }
+
+  /** Orders the end of runs whose job is closed. */
+  stopRuns(runs: readonly Run[]): void {
+    for (const run of runs) {
+      this.options.lingering.add(run);
+      void run.session.stop(run);
+    }
+  }
+
+  /** Keeps further runs of a task off an upstream. */
+  avoid(task: BoardTask, session: UpstreamSession): void {
+    if (task.avoid.includes(session.key)) return;
+    task.avoid = [...task.avoid, session.key].slice(-MAX_AVOIDED);
+  }
+
+  private report(session: UpstreamSession, end: RunEnd, runMs: number): void {
+    const {outcome, run, task} = end;
+    this.options.metrics.increment('runs.ended', 1, {outcome});
+    if (outcome === 'done') return;
+    this.options.logger.info('run-ended', {
+      job: task.job,
+      task: taskKey(task),
+      run,
+      upstream: session.record.id,
+      outcome,
+      runMs: Math.round(runMs),
+    });
+  }
+
+  private learn(
+    session: UpstreamSession,
+    {outcome}: RunEnd,
+    task: BoardTask,
+    runMs: number,
+  ): void {
+    if (runMs <= 0 || (outcome !== 'done' && outcome !== 'failed')) return;
+    const {speed, health, logger, remoteFactor} = this.options;
+    const {step} = task;
+    const {labels, id} = session.record;
+    const near = step.dataRack === '' || labels.includes(step.dataRack);
+    const declaredMs = step.declaredMs * (near ? 1 : remoteFactor);
+    const expectedMs = declaredMs * speed.factor(session.key);
+    const ok = outcome === 'done';
+    if (ok) speed.observe(session.key, runMs, declaredMs);
+    const changes = health.record(
+      {upstream: session.key, taskId: task.key, ok, runMs, expectedMs},
+      performance.now(),
+    );
+    for (const {state, reason} of changes) {
+      logger.warn('upstream-health', {upstream: id, state, reason});
+    }
+  }
+
+  private done(task: BoardTask, run: Run | null): void {
+    const other = task.run;
+    if (other && other !== run) this.stopRuns([other]);
+    this.options.board.taskDone(task);
+  }
+
+  private failed(
+    task: BoardTask,
+    run: Run | null,
+    session: UpstreamSession,
+  ): void {
+    task.failures++;
+    this.avoid(task, session);
+    if (!run) return;
+    if (task.failures < task.job.admitted.maxAttempts) {
+      this.options.board.requeue(task);
+      return;
+    }
+    task.run = null;
+    task.phase = 'ended';
+  }
+
+  private reportEnd(job: BoardJob, outcome: string): void {
+    const tookMs = performance.now() - job.since;
+    this.options.logger.info('job-ended', {
+      job: job.admitted.id,
+      queue: job.queue.name,
+      outcome,
+      tookMs: Math.round(tookMs),
+      objectiveMs: Math.round(job.objectiveMs),
+    });
+    this.options.metrics.timing('jobs.took', tookMs, {outcome});
+  }
+}
--- a/packages/dispatch/src/owner/transient_jobs.ts
+++ b/packages/dispatch/src/owner/transient_jobs.ts
@@ -57,15 +57,15 @@
     const {board, dispatcher, logger} = this.options;
     const job = board.job(id);
     if (!job || job.admitted.durable) return;
+    const started = job.started || job.tasks.flat().some(({run}) => run);
     logger.info('job-abandoned', {
       job: id,
       cause,
       ageMs: Math.round(performance.now() - job.since),
-      started: job.started,
+      started,
     });
-    dispatcher.stopRuns(board.close(id));
-    dispatcher.schedule();
-    const reply: Reply = job.started
+    dispatcher.drop(id);
+    const reply: Reply = started
       ? {type: 'given-up'}
       : {type: 'refused', reason: 'not-in-time'};
     this.settle(id, reply);
--- a/packages/dispatch/src/upstreams/upstream_types.ts
+++ b/packages/dispatch/src/upstreams/upstream_types.ts
@@ -49,6 +49,28 @@
 
 /** Drops the fields that change with every announcement. */
 export function recordOf(announcement: Announcement): UpstreamRecord {
-  const {clockMs: _clock, sequence: _sequence, ...record} = announcement;
-  return record;
+  const {
+    id,
+    startedAt,
+    pool,
+    address,
+    dataCentre,
+    leaving,
+    cpuMillis,
+    memoryMb,
+    accelerators,
+    labels,
+  } = announcement;
+  return {
+    id,
+    startedAt,
+    pool,
+    address,
+    dataCentre,
+    leaving,
+    cpuMillis,
+    memoryMb,
+    accelerators,
+    labels,
+  };
 }
--- /dev/null
+++ b/packages/dispatch/tests/fake_upstreams.ts
@@ -0,0 +1,274 @@
+/** Stand-in upstreams in memory: leases, tokens, lists of runs and ends. */
+import {type TaskId, taskKey} from '../src/jobs/job_types.js';
+import {
+  type HoldAnswer,
+  type HoldOrder,
+  OrderNotSentError,
+  OrderUnansweredError,
+  type RunEnd,
+  type StartAnswer,
+  type StartOrder,
+  type StopAnswer,
+  type StopOrder,
+  UpstreamPort,
+  type UpstreamTarget,
+} from '../src/upstreams/upstream_port.js';
+import type {Announcement} from '../src/upstreams/upstream_types.js';
+
+/** What happens to an order on its way. */
+export type Fate = 'delivered' | 'unreached' | 'lost' | 'answer-lost' | 'late';
+
+interface FakeRun {
+  readonly task: TaskId;
+  readonly run: number;
+  readonly timer: NodeJS.Timeout;
+}
+
+/** A run as it took place, for checks on all upstreams together. */
+export interface Span {
+  readonly task: string;
+  readonly run: number;
+  readonly upstream: string;
+  readonly from: number;
+  to: number;
+  outcome: string;
+}
+
+/** Longest lease that the stand-ins grant, in ms. */
+export const FAKE_LEASE_MS = 1_000;
+
+/** Delay of an order that is carried out late, in ms. */
+const LATE_MS = 3_000;
+
+/** One stand-in; its clock starts at a number of its own. */
+export class FakeUpstream {
+  readonly clockBase: number;
+  readonly runs = new Map<string, FakeRun>();
+  ends: RunEnd[] = [];
+  token = 0;
+  startedAt: number;
+  runMs = 60;
+  outcome: 'done' | 'failed' = 'done';
+  fate: (order: 'start' | 'stop' | 'hold') => Fate = () => 'delivered';
+  maxRuns = 2;
+  private sequence = 0;
+  private leaseUntil = 0;
+  private leaseTimer: NodeJS.Timeout | undefined;
+  private readonly forbidden = new Map<string, number>();
+  private readonly waiters = new Set<() => void>();
+
+  constructor(
+    readonly id: string,
+    readonly address: string,
+    private readonly spans: Span[],
+    startedAt = 1,
+  ) {
+    this.startedAt = startedAt;
+    this.clockBase = 5_000 + id.length - performance.now();
+  }
+
+  get clockMs(): number {
+    return Math.floor(performance.now() + this.clockBase);
+  }
+
+  announcement(sequence: number, leaving = false): Announcement {
+    const {id, address, startedAt, clockMs} = this;
+    return {
+      id,
+      address,
+      startedAt,
+      clockMs,
+      sequence,
+      leaving,
+      pool: 'pool',
+      dataCentre: 'a',
+      cpuMillis: this.maxRuns * 1_000,
+      memoryMb: 1_000,
+      accelerators: 0,
+      labels: [],
+    };
+  }
+
+  /** Ends this life; the next one knows nothing of it. */
+  reborn(): void {
+    for (const key of [...this.runs.keys()]) this.end(key, 'stopped');
+    this.ends = [];
+    this.sequence = 0;
+    this.token = 0;
+    this.leaseUntil = 0;
+    this.forbidden.clear();
+    this.startedAt++;
+  }
+
+  start(order: StartOrder): StartAnswer {
+    const {clockMs} = this;
+    if (order.token < this.token) return refused('superseded', clockMs);
+    this.token = order.token;
+    const key = taskKey(order.task);
+    if (this.runs.get(key)?.run === order.run)
+      return {type: 'started', clockMs};
+    if (order.leaseUntil <= clockMs) return refused('lease-over', clockMs);
+    this.extend(order.leaseUntil);
+    if (order.run <= (this.forbidden.get(key) ?? 0)) {
+      return refused('older-run', clockMs);
+    }
+    if (this.runs.size >= this.maxRuns) return refused('no-room', clockMs);
+    this.begin(order, key);
+    return {type: 'started', clockMs};
+  }
+
+  stop(order: StopOrder): StopAnswer {
+    if (order.token < this.token) return {type: 'superseded'};
+    this.token = order.token;
+    const key = taskKey(order.task);
+    this.forbid(key, order.run);
+    if (this.runs.get(key)?.run === order.run) this.end(key, 'stopped');
+    return {type: 'stopping'};
+  }
+
+  async hold(order: HoldOrder): Promise<HoldAnswer> {
+    if (order.token < this.token) return {type: 'superseded'};
+    this.token = order.token;
+    this.ends = this.ends.filter(e => e.sequence > order.acknowledged);
+    if (order.leaseUntil !== undefined) this.extend(order.leaseUntil);
+    if (order.waitMs > 0 && this.ends.length === 0) {
+      await this.endOrTimeout(order.waitMs);
+    }
+    const active = [...this.runs.values()].map(({task, run}) => ({
+      task,
+      run,
+      percent: 50,
+    }));
+    const {clockMs, startedAt, ends} = this;
+    return {type: 'held', clockMs, startedAt, active, ends: [...ends]};
+  }
+
+  private begin(order: StartOrder, key: string): void {
+    const span: Span = {
+      task: key,
+      run: order.run,
+      upstream: this.id,
+      from: performance.now(),
+      to: Infinity,
+      outcome: 'open',
+    };
+    this.spans.push(span);
+    const timer = setTimeout(() => this.end(key, this.outcome), this.runMs);
+    this.runs.set(key, {task: order.task, run: order.run, timer});
+  }
+
+  private end(key: string, outcome: RunEnd['outcome']): void {
+    const run = this.runs.get(key);
+    if (!run) return;
+    clearTimeout(run.timer);
+    this.runs.delete(key);
+    this.forbid(key, run.run);
+    this.sequence++;
+    const {task, run: number} = run;
+    this.ends.push({sequence: this.sequence, task, run: number, outcome});
+    const span = this.spans.find(
+      s =>
+        s.task === key &&
+        s.run === number &&
+        s.upstream === this.id &&
+        s.to === Infinity,
+    );
+    if (span) {
+      span.to = performance.now();
+      span.outcome = outcome;
+    }
+    for (const waiter of [...this.waiters]) waiter();
+  }
+
+  private forbid(key: string, run: number): void {
+    this.forbidden.set(key, Math.max(run, this.forbidden.get(key) ?? 0));
+  }
+
+  private extend(until: number): void {
+    const most = this.clockMs + FAKE_LEASE_MS;
+    this.leaseUntil = Math.max(this.leaseUntil, Math.min(until, most));
+    clearTimeout(this.leaseTimer);
+    this.leaseTimer = setTimeout(() => {
+      for (const key of [...this.runs.keys()]) this.end(key, 'lease-over');
+    }, this.leaseUntil - this.clockMs);
+  }
+
+  private endOrTimeout(ms: number): Promise<void> {
+    return new Promise(resolve => {
+      const done = () => {
+        clearTimeout(timer);
+        this.waiters.delete(done);
+        resolve();
+      };
+      const timer = setTimeout(done, ms);
+      this.waiters.add(done);
+    });
+  }
+}
+
+function refused(
+  reason: Extract<StartAnswer, {type: 'refused'}>['reason'],
+  clockMs: number,
+): StartAnswer {
+  return {type: 'refused', reason, clockMs};
+}
+
+/** Reaches the stand-ins by address, with the fate that each sets. */
+export class FakePort extends UpstreamPort {
+  constructor(private readonly upstreams: readonly FakeUpstream[]) {
+    super();
+  }
+
+  override start(to: UpstreamTarget, order: StartOrder): Promise<StartAnswer> {
+    return this.carry(to, 'start', order.timeoutMs, async u => u.start(order));
+  }
+
+  override stop(to: UpstreamTarget, order: StopOrder): Promise<StopAnswer> {
+    return this.carry(to, 'stop', order.timeoutMs, async u => u.stop(order));
+  }
+
+  override hold(to: UpstreamTarget, order: HoldOrder): Promise<HoldAnswer> {
+    return this.carry(to, 'hold', order.timeoutMs, u => u.hold(order));
+  }
+
+  override release(): void {
+    // Nothing is kept per upstream.
+  }
+
+  private async carry<T>(
+    to: UpstreamTarget,
+    kind: 'start' | 'stop' | 'hold',
+    timeoutMs: number,
+    run: (upstream: FakeUpstream) => Promise<T>,
+  ): Promise<T> {
+    const upstream = this.upstreams.find(({address}) => address === to.address);
+    const fate = upstream ? upstream.fate(kind) : 'unreached';
+    if (!upstream || fate === 'unreached') throw new OrderNotSentError(kind);
+    if (fate === 'delivered') {
+      await delay(1);
+      return run(upstream);
+    }
+    if (fate === 'answer-lost') void run(upstream);
+    if (fate === 'late') setTimeout(() => void run(upstream), LATE_MS);
+    await delay(timeoutMs);
+    throw new OrderUnansweredError(kind);
+  }
+}
+
+function delay(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
+
+/** Pairs of runs of one task that overlap in time. */
+export function overlaps(spans: readonly Span[]): string[] {
+  const found: string[] = [];
+  for (const [index, a] of spans.entries()) {
+    for (const b of spans.slice(index + 1)) {
+      if (a.task !== b.task) continue;
+      if (a.from < b.to && b.from < a.to) {
+        found.push(`${a.task}: ${a.upstream}/${a.run}, ${b.upstream}/${b.run}`);
+      }
+    }
+  }
+  return found;
+}
--- /dev/null
+++ b/packages/dispatch/tests/owner/owner.test.ts
@@ -0,0 +1,198 @@
+/** What callers and upstreams see of an owner, under faults. */
+import {expect} from 'chai';
+
+import {overlaps} from '../fake_upstreams.js';
+import {OwnerHarness, step} from '../owner_harness.js';
+
+describe('Owner', () => {
+  let harness: OwnerHarness;
+
+  async function begin(upstreams: number): Promise<void> {
+    harness = new OwnerHarness(upstreams);
+    await harness.begin();
+  }
+
+  afterEach(async () => {
+    expect(overlaps(harness.spans)).to.deep.equal([]);
+    await harness.close();
+  });
+
+  it('answers a waiting caller once all tasks are done', async () => {
+    await begin(2);
+    const reply = await harness.settled(harness.submit('a', [step(3)]));
+    expect(reply).to.deep.equal({type: 'ended', state: 'completed'});
+    expect(harness.spans).to.have.length(3);
+  });
+
+  // Seen on the platform: a caller that resent its job after giving up.
+  it('does not run a task of a resubmitted job beside its earlier run', async () => {
+    await begin(2);
+    harness.upstream(0).runMs = 5_000;
+    harness.upstream(1).runMs = 5_000;
+    const first = harness.submit('a');
+    await harness.advance(20);
+    // The stop is lost on its way, so that the run goes on for a while.
+    for (const each of harness.upstreams) {
+      each.fate = kind => (kind === 'stop' ? 'lost' : 'delivered');
+    }
+    await harness.call({type: 'abandon', job: 'a'});
+    expect(await first).to.deep.equal({type: 'given-up'});
+    const second = harness.submit('a');
+    await harness.advance(100);
+    expect(harness.spans).to.have.length(1);
+    for (const each of harness.upstreams) {
+      each.fate = () => 'delivered';
+      each.runMs = 60;
+    }
+    const reply = await harness.settled(second);
+    expect(reply).to.deep.equal({type: 'ended', state: 'completed'});
+  });
+
+  it('does not repeat a run whose start was answered into the void', async () => {
+    await begin(2);
+    for (const each of harness.upstreams) {
+      each.runMs = 800;
+      each.fate = kind => (kind === 'start' ? 'answer-lost' : 'delivered');
+    }
+    const reply = await harness.settled(harness.submit('a'));
+    expect(reply).to.deep.equal({type: 'ended', state: 'completed'});
+    expect(harness.spans).to.have.length(1);
+  });
+
+  it('forbids a delayed start before it runs the task elsewhere', async () => {
+    await begin(2);
+    harness.upstream(0).fate = k => (k === 'start' ? 'late' : 'delivered');
+    harness.upstream(1).fate = k => (k === 'start' ? 'late' : 'delivered');
+    const answer = harness.submit('a');
+    await harness.advance(200);
+    for (const each of harness.upstreams) each.fate = () => 'delivered';
+    const reply = await harness.settled(answer);
+    expect(reply).to.deep.equal({type: 'ended', state: 'completed'});
+    await harness.advance(5_000);
+    expect(harness.spans).to.have.length(1);
+  });
+
+  it('runs a task elsewhere only once the leases of a silent upstream are over', async () => {
+    await begin(2);
+    for (const each of harness.upstreams) each.runMs = 3_000;
+    await harness.settled(harness.store('a'));
+    await harness.advance(100);
+    const first = harness.spans[0]?.upstream;
+    const cut = harness.upstreams.find(({id}) => id === first);
+    if (cut) cut.fate = () => 'lost';
+    for (const each of harness.upstreams) each.runMs = 60;
+    await harness.advance(3_000);
+    expect(harness.spans.map(({outcome}) => outcome)).to.deep.equal([
+      'lease-over',
+      'done',
+    ]);
+    expect(await harness.stateOf('a')).to.equal('completed');
+  });
+
+  it('adopts the runs of stored jobs after a change of the owner', async () => {
+    await begin(2);
+    for (const each of harness.upstreams) each.runMs = 900;
+    await harness.settled(harness.store('a', [step(2)]));
+    await harness.advance(50);
+    harness.kill();
+    await harness.lead();
+    await harness.advance(1_500);
+    expect(await harness.stateOf('a')).to.equal('completed');
+    expect(harness.spans).to.have.length(2);
+  });
+
+  it('adopts the runs of a waiting caller who submits again after a change of the owner', async () => {
+    await begin(2);
+    for (const each of harness.upstreams) each.runMs = 900;
+    void harness.submit('a', [step(2)]);
+    await harness.advance(50);
+    harness.kill();
+    await harness.lead();
+    await harness.advance(20);
+    const reply = await harness.settled(harness.submit('a', [step(2)]));
+    expect(reply).to.deep.equal({type: 'ended', state: 'completed'});
+    expect(harness.spans).to.have.length(2);
+  });
+
+  it('keeps accepted jobs and their ends over a change of the owner', async () => {
+    await begin(2);
+    await harness.settled(harness.store('a', [step(2), step(1, {after: [0]})]));
+    await harness.advance(30);
+    harness.kill();
+    await harness.lead();
+    await harness.advance(2_000);
+    expect(await harness.stateOf('a')).to.equal('completed');
+    expect(harness.spans).to.have.length(3);
+  });
+
+  it('starts a step only after the steps that it depends on', async () => {
+    await begin(2);
+    const steps = [step(2), step(1, {after: [0]})];
+    await harness.settled(harness.submit('a', steps));
+    const ends = harness.spans.filter(s => s.task.startsWith('a/0'));
+    const last = harness.spans.find(s => s.task === 'a/1/0');
+    expect(last?.from).to.be.at.least(Math.max(...ends.map(({to}) => to)));
+  });
+
+  it('runs the tasks again that a reborn upstream has lost', async () => {
+    await begin(1);
+    const upstream = harness.upstream(0);
+    upstream.runMs = 500;
+    const answer = harness.submit('a');
+    await harness.advance(100);
+    upstream.reborn();
+    await harness.announce(upstream);
+    const reply = await harness.settled(answer);
+    expect(reply).to.deep.equal({type: 'ended', state: 'completed'});
+    expect(harness.spans).to.have.length(2);
+  });
+
+  it('starts nothing on an upstream after its leave was acknowledged', async () => {
+    await begin(2);
+    await harness.announce(harness.upstream(0), true);
+    await harness.settled(harness.submit('a', [step(6)]));
+    expect(harness.spans.filter(s => s.upstream === 'u0')).to.deep.equal([]);
+  });
+
+  it('fails a job whose task failed as often as allowed, and not before', async () => {
+    await begin(2);
+    for (const each of harness.upstreams) each.outcome = 'failed';
+    const reply = await harness.settled(harness.submit('a'));
+    expect(reply).to.deep.equal({type: 'ended', state: 'failed'});
+    expect(harness.spans).to.have.length(2);
+  });
+
+  it('stops the runs of a cancelled job and starts none after', async () => {
+    await begin(1);
+    harness.upstream(0).runMs = 5_000;
+    await harness.settled(harness.store('a', [step(4)]));
+    await harness.advance(50);
+    const path = '/q/a';
+    const reply = await harness.settled(
+      harness.call({type: 'cancel', host: 'host', path}),
+    );
+    expect(reply).to.deep.equal({type: 'state', state: 'cancelled'});
+    await harness.advance(1_000);
+    expect(harness.spans.map(s => s.outcome)).to.deep.equal([
+      'stopped',
+      'stopped',
+    ]);
+  });
+
+  it('gives no orders while the process may have been paused', async () => {
+    await begin(1);
+    harness.paused = true;
+    const reply = await harness.submit('a');
+    expect(reply).to.deep.equal({type: 'not-leader'});
+    expect(harness.spans).to.deep.equal([]);
+  });
+
+  it('tells a caller truly that nothing ran when no upstream had room', async () => {
+    await begin(1);
+    harness.upstream(0).runMs = 5_000;
+    await harness.settled(harness.store('a', [step(2)]));
+    const reply = await harness.settled(harness.submit('b'));
+    expect(reply).to.deep.equal({type: 'refused', reason: 'not-in-time'});
+    expect(harness.spans.some(s => s.task.startsWith('b'))).to.equal(false);
+  });
+});
--- /dev/null
+++ b/packages/dispatch/tests/owner_harness.ts
@@ -0,0 +1,206 @@
+/** An owner on a log of one member, with stand-in upstreams on a fake clock. */
+import {MemoryLogStorage, ReplicatedLog} from '@mustardferry/coordination';
+import {must} from '@mustardferry/model';
+import {createLogger, NullMetrics} from '@mustardferry/runtime';
+import fakeTimers, {type Clock} from '@sinonjs/fake-timers';
+
+import type {Command, CommandResult} from '../src/jobs/commands.js';
+import type {QueueConfig} from '../src/jobs/configuration.js';
+import {DispatchState} from '../src/jobs/dispatch_state.js';
+import type {Step} from '../src/jobs/job_types.js';
+import type {Reply} from '../src/messages/calls.js';
+import {Owner} from '../src/owner/owner.js';
+import {
+  FAKE_LEASE_MS,
+  FakePort,
+  FakeUpstream,
+  type Span,
+} from './fake_upstreams.js';
+
+/** Queue that the harness configures. */
+export const QUEUE: QueueConfig = {
+  name: 'queue',
+  host: 'host',
+  prefix: '/q/',
+  pool: 'pool',
+  priority: 0,
+  maxAttempts: 2,
+  stretch: 2,
+  targetMs: 60,
+};
+
+/** A step of equal tasks. */
+export function step(tasks: number, fields: Partial<Step> = {}): Step {
+  return {
+    tasks,
+    cpuMillis: 1_000,
+    memoryMb: 1,
+    accelerators: 0,
+    declaredMs: 60,
+    after: [],
+    label: '',
+    dataRack: '',
+    maxPerUpstream: 0,
+    ...fields,
+  };
+}
+
+/** Runs one owner after another on the same stored log. */
+export class OwnerHarness {
+  readonly clock: Clock;
+  readonly spans: Span[] = [];
+  readonly upstreams: FakeUpstream[];
+  state = new DispatchState();
+  paused = false;
+  owner: Owner | null = null;
+  private readonly storage = new MemoryLogStorage<Command>({syncMs: 9});
+  private readonly port: FakePort;
+  private log: ReplicatedLog<Command, CommandResult> | null = null;
+  private readonly sequences = new Map<string, number>();
+
+  constructor(count: number) {
+    this.clock = fakeTimers.install({
+      now: 1_000_000,
+      toFake: [
+        'setTimeout',
+        'clearTimeout',
+        'setInterval',
+        'clearInterval',
+        'performance',
+        'Date',
+      ],
+    });
+    this.upstreams = Array.from(
+      {length: count},
+      (_, i) => new FakeUpstream(`u${i}`, `10.0.0.${i}:1`, this.spans),
+    );
+    this.port = new FakePort(this.upstreams);
+  }
+
+  upstream(index: number): FakeUpstream {
+    return must(this.upstreams[index], `no upstream ${index}`);
+  }
+
+  /** Starts an owner under a new term, and waits until it leads. */
+  async lead(): Promise<Owner> {
+    this.state = new DispatchState();
+    const log = await ReplicatedLog.open<Command, CommandResult>({
+      self: {name: 'm', incarnation: 'first'},
+      voters: [{name: 'm', incarnation: 'first'}],
+      mode: 'sync-everything',
+      storage: this.storage,
+      transport: {send: () => undefined},
+      machine: this.state,
+      random: () => 0.5,
+    });
+    this.log = log;
+    log.onLeadership(({leader, term}) => {
+      if (leader) this.owner = this.createOwner(log, term);
+    });
+    while (!this.owner) await this.advance(10);
+    return this.owner;
+  }
+
+  /** Ends the owner as a kill would: no order goes out any more. */
+  kill(): void {
+    this.owner?.close();
+    this.owner = null;
+    this.log?.abort();
+  }
+
+  /** Leads, configures the queue and announces all upstreams. */
+  async begin(): Promise<void> {
+    await this.lead();
+    await this.settled(
+      this.call({
+        type: 'configure',
+        configuration: {revision: 1, queues: [QUEUE], source: '{}'},
+      }),
+    );
+    for (const upstream of this.upstreams) await this.announce(upstream);
+    await this.advance(50);
+  }
+
+  async announce(upstream: FakeUpstream, leaving = false): Promise<void> {
+    const sequence = (this.sequences.get(upstream.id) ?? 0) + 1;
+    this.sequences.set(upstream.id, sequence);
+    const announcement = upstream.announcement(sequence, leaving);
+    await this.settled(this.call({type: 'announce', upstream: announcement}));
+  }
+
+  /** Submits a job whose caller waits for the end. */
+  submit(id: string, steps: readonly Step[] = [step(1)]): Promise<Reply> {
+    return this.submitWith(id, steps, false);
+  }
+
+  /** Submits a job that is stored. */
+  store(id: string, steps: readonly Step[] = [step(1)]): Promise<Reply> {
+    return this.submitWith(id, steps, true);
+  }
+
+  call(call: Parameters<Owner['handle']>[0]): Promise<Reply> {
+    return must(this.owner, 'no owner').handle(call);
+  }
+
+  /** State of a stored job. */
+  async stateOf(id: string): Promise<string> {
+    const path = `/q/${id}`;
+    const reply = await this.call({type: 'state', host: 'host', path});
+    return reply.type === 'state' ? reply.state : reply.type;
+  }
+
+  async advance(ms: number): Promise<void> {
+    await this.clock.tickAsync(ms);
+  }
+
+  /** Advances the clock until a promise is settled. */
+  async settled<T>(promise: Promise<T>, withinMs = 20_000): Promise<T> {
+    let done = false;
+    void promise.then(
+      () => (done = true),
+      () => (done = true),
+    );
+    for (let ms = 0; ms < withinMs && !done; ms += 5) await this.advance(5);
+    if (!done) throw new Error(`not settled within ${withinMs} ms`);
+    return promise;
+  }
+
+  async close(): Promise<void> {
+    this.owner?.close();
+    this.log?.abort();
+    this.clock.uninstall();
+  }
+
+  private submitWith(
+    id: string,
+    steps: readonly Step[],
+    durable: boolean,
+  ): Promise<Reply> {
+    return this.call({
+      type: 'submit',
+      host: 'host',
+      path: `/q/${id}`,
+      patienceMs: 1_500,
+      job: {id, payload: 'text', steps, durable},
+    });
+  }
+
+  private createOwner(
+    log: ReplicatedLog<Command, CommandResult>,
+    term: number,
+  ): Owner {
+    return new Owner({
+      log,
+      state: this.state,
+      port: this.port,
+      logger: createLogger('silent'),
+      metrics: new NullMetrics(),
+      term,
+      leaseMs: FAKE_LEASE_MS,
+      remoteFactor: 2,
+      keepEndedMs: 60_000,
+      address: '10.0.1.1:1',
+      wasPaused: () => this.paused,
+    });
+  }
+}
--- a/packages/links/src/frame_options.ts
+++ b/packages/links/src/frame_options.ts
@@ -6,9 +6,9 @@
 /** Timing of framed connections in milliseconds. */
 export const FRAME_TIMING = {
   /** A third of the silence, so that one lost ping does not end a link. */
-  pingAfterMs: 200,
+  pingAfterMs: 150,
   /** Below the election timeout, so that a silent path is left before it. */
-  silenceMs: 600,
+  silenceMs: 450,
   /** Ten round trips between distant data centres. */
   connectMs: 400,
 } as const;
