Adopt late-listed runs, wait for stray ones; restart stragglers elsewhere

Change: a listed run of a ready task is adopted; tasks wait for stray runs that are being stopped; runs whose reported progress projects to twice the expected time are restarted where they end sooner, upstreams that make none count as failing; learned speeds fade.

--- a/packages/dispatch/src/owner/board_types.ts
+++ b/packages/dispatch/src/owner/board_types.ts
@@ -1,6 +1,7 @@
 /** Scheduling state of jobs and tasks on the owner; not replicated. */
 import type {QueueConfig} from '../jobs/configuration.js';
 import type {AdmittedJob, Step, TaskId} from '../jobs/job_types.js';
+import type {RunProgress} from './run_progress.js';
 import type {UpstreamSession} from './upstream_session.js';
 
 /** Where a run is. */
@@ -24,8 +25,7 @@
   confirmedAt: number;
   /** When the upstream acknowledged a stop; Infinity before. */
   stopAckedAt: number;
-  /** Share of the work done, 0 to 100. */
-  percent: number;
+  readonly progress: RunProgress;
 }
 
 /** Where a task is. */
--- a/packages/dispatch/src/owner/dispatcher.ts
+++ b/packages/dispatch/src/owner/dispatcher.ts
@@ -14,8 +14,11 @@
 import type {BoardTask, Run} from './board_types.js';
 import {FoundRuns} from './found_runs.js';
 import {LingeringRuns} from './lingering_runs.js';
+import {LostRuns} from './lost_runs.js';
+import {PlacementPolicy} from './placement.js';
 import {RunStarter} from './run_starter.js';
 import type {Contact, SessionEvents} from './session_types.js';
+import {Stragglers} from './stragglers.js';
 import type {TaskBoard} from './task_board.js';
 import {TaskOutcomes} from './task_outcomes.js';
 import type {UpstreamSession} from './upstream_session.js';
@@ -45,12 +48,6 @@
   readonly onFenced: (session: UpstreamSession) => void;
 }
 
-/** Pause in ms before an upstream that refused for room is offered more. */
-const FULL_PAUSE_MS = 30;
-
-/** Step of the run number after a refusal as too old. */
-const RUN_NUMBER_STEP = 16;
-
 /** Consecutive failures that eject: a job fails after few attempts. */
 const EJECT_AFTER_FAILURES = 2;
 
@@ -77,14 +74,18 @@
   private readonly found: FoundRuns;
   private readonly starter: RunStarter;
   private readonly outcomes: TaskOutcomes;
+  private readonly stragglers: Stragglers;
+  private readonly lost: LostRuns;
 
   constructor(private readonly options: DispatcherOptions) {
     const {speed, health, lingering} = this;
     this.found = new FoundRuns({
       ...options,
+      lingering,
       isSettled: () => this.isEnabled,
     });
-    this.starter = new RunStarter({...options, speed, health});
+    const placement = new PlacementPolicy(speed, health);
+    this.starter = new RunStarter({...options, placement, health});
     this.outcomes = new TaskOutcomes({
       ...options,
       speed,
@@ -92,6 +93,20 @@
       lingering,
       onTransientEnd: (job, state) => this.onTransientEnd(job, state),
     });
+    const {outcomes} = this;
+    this.lost = new LostRuns({
+      ...options,
+      outcomes,
+      schedule: () => this.schedule(),
+    });
+    this.stragglers = new Stragglers({
+      ...options,
+      placement,
+      speed,
+      health,
+      sessionsOf: pool => this.starter.sessionsOf(pool),
+      avoid: (task, session) => this.outcomes.avoid(task, session),
+    });
   }
 
   /** Ends all sessions without orders; their runs are the next owner's. */
@@ -125,6 +140,7 @@
     this.health.remove(session.key);
     this.speed.forget(session.key);
     session.close();
+    this.found.endedAll(session);
     for (const run of session.runs.all) {
       session.runs.remove(run);
       this.runLost(run, cause);
@@ -178,6 +194,7 @@
       runs: runs.size,
     });
     metrics.increment('upstream.contact_changes', 1, {to: contact});
+    if (contact === 'lost') this.found.endedAll(session);
     if (contact === 'live') this.schedule();
   }
 
@@ -204,42 +221,15 @@
   }
 
   runLost(run: Run, cause: string): void {
-    const {task, session, number} = run;
-    this.options.logger.warn('run-lost', {
-      job: task.id.job,
-      task: task.key,
-      run: number,
-      upstream: session.record.id,
-      cause,
-    });
-    this.options.metrics.increment('runs.lost');
-    this.outcomes.release(run);
-    if (task.run === run) {
-      this.outcomes.avoid(task, session);
-      this.options.board.requeue(task);
-    }
-    this.schedule();
+    this.lost.lost(run, cause);
   }
 
   startRefused(run: Run, reason: StartRefusal | 'not-sent'): void {
-    const {task, session, number} = run;
-    this.options.logger.info('start-refused', {
-      job: task.id.job,
-      task: task.key,
-      run: number,
-      upstream: session.record.id,
-      reason,
-    });
-    this.options.metrics.increment('starts.refused', 1, {reason});
-    this.outcomes.release(run);
-    const isFull = reason === 'no-room';
-    if (isFull) session.fullUntil = performance.now() + FULL_PAUSE_MS;
-    if (reason === 'older-run') task.lastRun += RUN_NUMBER_STEP;
-    if (reason === 'unhealthy' || reason === 'not-sent') {
-      this.outcomes.avoid(task, session);
-    }
-    if (task.run === run) this.options.board.requeue(task);
-    setTimeout(() => this.schedule(), isFull ? FULL_PAUSE_MS : 1);
+    this.lost.refused(run, reason);
+  }
+
+  progressed(session: UpstreamSession): void {
+    this.stragglers.review(session, performance.now());
   }
 
   foundRun(session: UpstreamSession, active: ActiveRun): void {
--- a/packages/dispatch/src/owner/found_runs.ts
+++ b/packages/dispatch/src/owner/found_runs.ts
@@ -5,6 +5,8 @@
 import {taskKey} from '../jobs/job_types.js';
 import type {ActiveRun} from '../upstreams/upstream_port.js';
 import type {BoardJob, BoardTask, Run} from './board_types.js';
+import type {LingeringRuns} from './lingering_runs.js';
+import {RunProgress} from './run_progress.js';
 import type {TaskBoard} from './task_board.js';
 import type {UpstreamSession} from './upstream_session.js';
 
@@ -12,6 +14,7 @@
 export interface FoundRunsOptions {
   readonly board: TaskBoard;
   readonly state: DispatchState;
+  readonly lingering: LingeringRuns;
   readonly logger: Logger;
   /** Whether starts are allowed: from then on no run is left to find. */
   readonly isSettled: () => boolean;
@@ -20,6 +23,8 @@
 interface Orphan {
   readonly session: UpstreamSession;
   readonly active: ActiveRun;
+  /** Whether its stop was ordered; it runs until its end is listed. */
+  stopping: boolean;
 }
 
 /**
@@ -40,18 +45,35 @@
     const {board, state, isSettled} = this.options;
     const key = taskKey(active.task);
     const task = board.task(key);
-    if (task?.phase === 'unknown') {
+    if (task?.phase === 'unknown' || task?.phase === 'ready') {
       this.adopt(task, session, active);
       return;
     }
+    const known = this.orphans.get(key);
+    if (known) {
+      // Listed again: the stop may have been lost.
+      if (known.stopping) void session.forbid(active);
+      return;
+    }
+    const orphan = {session, active, stopping: false};
+    this.orphans.set(key, orphan);
     const isKnown = task !== undefined || state.jobs.has(active.task.job);
-    if (!isKnown && !isSettled()) this.orphans.set(key, {session, active});
-    else if (!this.orphans.has(key)) this.stop(session, active);
+    if (isKnown || isSettled()) this.stop(orphan);
+  }
+
+  /** Notes the end of a run, and frees the task that waited for it. */
+  ended(key: string): void {
+    if (!this.orphans.delete(key)) return;
+    const {board, lingering} = this.options;
+    const task = board.task(key);
+    if (task?.phase === 'held' && !lingering.get(key)) board.requeue(task);
   }
 
-  /** Notes the end of a run. */
-  ended(task: string): void {
-    this.orphans.delete(task);
+  /** Notes that nothing runs on an upstream any more. */
+  endedAll(session: UpstreamSession): void {
+    for (const [key, orphan] of [...this.orphans]) {
+      if (orphan.session === session) this.ended(key);
+    }
   }
 
   /** Adopts the runs of a job that was submitted again. */
@@ -60,6 +82,11 @@
     for (const task of job.tasks.flat()) {
       const orphan = this.orphans.get(task.key);
       if (!orphan || task.phase !== 'ready') continue;
+      if (orphan.stopping) {
+        task.phase = 'held';
+        task.lastRun = Math.max(task.lastRun, orphan.active.run);
+        continue;
+      }
       this.orphans.delete(task.key);
       this.adopt(task, orphan.session, orphan.active);
     }
@@ -67,13 +94,14 @@
 
   /** Stops the runs whose jobs were not submitted again. */
   dropOrphans(): void {
-    for (const [key, {session, active}] of this.orphans) {
-      this.orphans.delete(key);
-      this.stop(session, active);
+    for (const orphan of this.orphans.values()) {
+      if (!orphan.stopping) this.stop(orphan);
     }
   }
 
-  private stop(session: UpstreamSession, active: ActiveRun): void {
+  private stop(orphan: Orphan): void {
+    const {session, active} = orphan;
+    orphan.stopping = true;
     this.options.logger.warn('stray-run-stopped', {
       job: active.task.job,
       task: taskKey(active.task),
@@ -97,7 +125,7 @@
       phase: 'running',
       confirmedAt: now,
       stopAckedAt: Infinity,
-      percent: active.percent,
+      progress: new RunProgress(now),
     };
     task.lastRun = Math.max(task.lastRun, active.run);
     task.run = run;
--- a/packages/dispatch/src/owner/placement.ts
+++ b/packages/dispatch/src/owner/placement.ts
@@ -85,7 +85,8 @@
     const {step, job} = task;
     const near =
       step.dataRack === '' || session.record.labels.includes(step.dataRack);
-    const factor = this.speed.factor(session.key) * (near ? 1 : remoteFactor);
+    const factor =
+      this.speed.factor(session.key, now) * (near ? 1 : remoteFactor);
     const expectedMs = step.declaredMs * factor;
     const elapsedMs = now - job.since;
     const marginMs = job.objectiveMs - elapsedMs - expectedMs - OVERHEAD_MS;
--- a/packages/dispatch/src/owner/run_starter.ts
+++ b/packages/dispatch/src/owner/run_starter.ts
@@ -3,16 +3,16 @@
 import type {Logger, Metrics} from '@mustardferry/runtime';
 
 import type {BoardTask, Run} from './board_types.js';
-import {type Placement, PlacementPolicy} from './placement.js';
+import type {Placement, PlacementPolicy} from './placement.js';
 import type {OfferResult} from './ready_queue.js';
+import {RunProgress} from './run_progress.js';
 import type {TaskBoard} from './task_board.js';
 import type {UpstreamSession} from './upstream_session.js';
-import type {UpstreamSpeed} from './upstream_speed.js';
 
 /** Options of the starter. */
 export interface RunStarterOptions {
   readonly board: TaskBoard;
-  readonly speed: UpstreamSpeed;
+  readonly placement: PlacementPolicy;
   readonly health: OutlierEjection;
   readonly logger: Logger;
   readonly metrics: Metrics;
@@ -26,13 +26,10 @@
 /** Owns the pools of upstreams. */
 export class RunStarter {
   private readonly pools = new Map<string, UpstreamSession[]>();
-  private readonly placement: PlacementPolicy;
   private scheduled = false;
   private enabled = false;
 
-  constructor(private readonly options: RunStarterOptions) {
-    this.placement = new PlacementPolicy(options.speed, options.health);
-  }
+  constructor(private readonly options: RunStarterOptions) {}
 
   get isEnabled(): boolean {
     return this.enabled;
@@ -42,6 +39,11 @@
     return [...this.pools.values()].flat();
   }
 
+  /** Sessions that may take tasks of a pool. */
+  sessionsOf(pool: string): readonly UpstreamSession[] {
+    return (this.pools.get(pool) ?? []).filter(session => session.accepts);
+  }
+
   enable(): void {
     this.enabled = true;
     this.schedule();
@@ -76,7 +78,7 @@
     const now = performance.now();
     for (const [pool, queue] of this.options.board.readyQueues) {
       if (queue.size === 0) continue;
-      const sessions = (this.pools.get(pool) ?? []).filter(s => s.accepts);
+      const sessions = this.sessionsOf(pool);
       queue.offerAll(now, task => this.offer(task, sessions, now));
     }
   }
@@ -89,7 +91,7 @@
     if (sessions.length === 0) return 'full';
     const {remoteFactor} = this.options;
     const input = {sessions, now, remoteFactor};
-    const found = this.placement.choose(task, input);
+    const found = this.options.placement.choose(task, input);
     if (found) {
       this.start(task, found, now);
       return 'placed';
@@ -108,7 +110,7 @@
       phase: 'starting',
       confirmedAt: Infinity,
       stopAckedAt: Infinity,
-      percent: 0,
+      progress: new RunProgress(now),
     };
     task.lastRun = run.number;
     task.run = run;
--- a/packages/dispatch/src/owner/run_table.ts
+++ b/packages/dispatch/src/owner/run_table.ts
@@ -75,7 +75,7 @@
         continue;
       }
       listed.add(run);
-      run.percent = each.percent;
+      run.progress.observe(each.percent, performance.now());
       if (run.phase === 'starting' || run.phase === 'uncertain') {
         begun.push(run);
       }
--- a/packages/dispatch/src/owner/session_types.ts
+++ b/packages/dispatch/src/owner/session_types.ts
@@ -32,6 +32,8 @@
   /** A run ended without an entry in the list of ends. */
   runLost(run: Run, cause: string): void;
   startRefused(run: Run, reason: StartRefusal | 'not-sent'): void;
+  /** The runs made progress, or none. */
+  progressed(session: UpstreamSession): void;
   /** A run that this session did not start. */
   foundRun(session: UpstreamSession, active: ActiveRun): void;
   /** A newer life answered at the address. */
--- /dev/null
+++ b/packages/dispatch/src/owner/stragglers.ts
@@ -0,0 +1,94 @@
+/** Restarts tasks elsewhere whose runs make too little progress. */
+import type {OutlierEjection} from '@mustardferry/decisions';
+import type {Logger, Metrics} from '@mustardferry/runtime';
+
+import type {BoardTask, Run} from './board_types.js';
+import type {PlacementPolicy} from './placement.js';
+import type {UpstreamSession} from './upstream_session.js';
+import type {UpstreamSpeed} from './upstream_speed.js';
+
+/** Options of the policy. */
+export interface StragglersOptions {
+  readonly placement: PlacementPolicy;
+  readonly speed: UpstreamSpeed;
+  readonly health: OutlierEjection;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly remoteFactor: number;
+  /** Sessions that may take the tasks of a pool. */
+  readonly sessionsOf: (pool: string) => readonly UpstreamSession[];
+  readonly avoid: (task: BoardTask, session: UpstreamSession) => void;
+}
+
+/** Time in ms that a stop takes, and the hold that tells of it. */
+const STOP_MS = 60;
+
+/** A restart throws work away, so it must save at least half of the rest. */
+const MIN_GAIN_FACTOR = 2;
+
+/** Restarts of one task; more would only move the trouble. */
+const MAX_RESTARTS = 2;
+
+/** Share of the expected rate below which an upstream is noted as slow. */
+const SLOW_FACTOR = 2;
+
+/** Reviews the runs of an upstream after each of its reports. */
+export class Stragglers {
+  private readonly restarts = new WeakMap<BoardTask, number>();
+
+  constructor(private readonly options: StragglersOptions) {}
+
+  review(session: UpstreamSession, now: number): void {
+    for (const run of session.runs.all) {
+      const {remainingMs} = run.progress;
+      if (run.phase !== 'running' || remainingMs === null) continue;
+      if (run.task.run === run) this.reviewRun(run, remainingMs, now);
+    }
+  }
+
+  private reviewRun(run: Run, remainingMs: number, now: number): void {
+    const {task, session} = run;
+    const {speed, placement, sessionsOf, remoteFactor} = this.options;
+    const {declaredMs} = task.step;
+    const expectedMs = declaredMs * speed.factor(session.key, now);
+    const projectedMs = now - run.startedAt + remainingMs;
+    if (projectedMs < SLOW_FACTOR * expectedMs) return;
+    if (Number.isFinite(remainingMs)) {
+      speed.observe(session.key, projectedMs, declaredMs, now);
+    }
+    const restarts = this.restarts.get(task) ?? 0;
+    if (restarts >= MAX_RESTARTS) return;
+    const sessions = sessionsOf(task.job.admitted.pool).filter(
+      other => other !== session,
+    );
+    const found = placement.choose(task, {sessions, now, remoteFactor});
+    if (!found) return;
+    const elsewhereMs = found.expectedMs + STOP_MS;
+    if (remainingMs < MIN_GAIN_FACTOR * elsewhereMs) return;
+    this.restarts.set(task, restarts + 1);
+    this.restart(run, remainingMs, found.expectedMs);
+  }
+
+  private restart(run: Run, remainingMs: number, expectedMs: number): void {
+    const {task, session, number, startedAt} = run;
+    const {logger, metrics, avoid, health} = this.options;
+    const now = performance.now();
+    const stands = !Number.isFinite(remainingMs);
+    logger.info('run-restarted', {
+      job: task.id.job,
+      task: task.key,
+      run: number,
+      upstream: session.record.id,
+      remainingMs: stands ? 'none made' : Math.round(remainingMs),
+      elsewhereMs: Math.round(expectedMs),
+      runMs: Math.round(now - startedAt),
+    });
+    metrics.increment('runs.restarted');
+    if (stands) {
+      const result = {upstream: session.key, taskId: task.key, ok: false};
+      health.record({...result, runMs: now - startedAt, expectedMs}, now);
+    }
+    avoid(task, session);
+    void session.stop(run);
+  }
+}
--- a/packages/dispatch/src/owner/task_outcomes.ts
+++ b/packages/dispatch/src/owner/task_outcomes.ts
@@ -131,12 +131,13 @@
     const {labels, id} = session.record;
     const near = step.dataRack === '' || labels.includes(step.dataRack);
     const declaredMs = step.declaredMs * (near ? 1 : remoteFactor);
-    const expectedMs = declaredMs * speed.factor(session.key);
+    const now = performance.now();
+    const expectedMs = declaredMs * speed.factor(session.key, now);
     const ok = outcome === 'done';
-    if (ok) speed.observe(session.key, runMs, declaredMs);
+    if (ok) speed.observe(session.key, runMs, declaredMs, now);
     const changes = health.record(
       {upstream: session.key, taskId: task.key, ok, runMs, expectedMs},
-      performance.now(),
+      now,
     );
     for (const {state, reason} of changes) {
       logger.warn('upstream-health', {upstream: id, state, reason});
--- a/packages/dispatch/src/owner/upstream_session.ts
+++ b/packages/dispatch/src/owner/upstream_session.ts
@@ -39,6 +39,8 @@
   private seen: number;
   /** Position up to which the upstream may forget ends. */
   private acknowledged: number;
+  /** Runs listed last that the session doesn't track. */
+  private strays = 0;
   private committing: Promise<void> | null = null;
   /** Runs given up while the upstream was silent. */
   private abandoned: Pick<ActiveRun, 'task' | 'run'>[] = [];
@@ -147,6 +149,7 @@
       this.state === 'live' &&
       this.failures === 0 &&
       this.runs.size === 0 &&
+      this.strays === 0 &&
       this.seen === this.acknowledged
     );
   }
@@ -235,6 +238,7 @@
     this.takeEnds(answer.ends);
     this.takeActive(answer.active, sentAt);
     if (wasFencing) events.fenced(this);
+    events.progressed(this);
   }
 
   private observeClock(clockMs: number): void {
@@ -263,6 +267,7 @@
   private takeActive(active: readonly ActiveRun[], sentAt: number): void {
     const {begun, found, gone} = this.runs.compare(active, sentAt);
     for (const run of begun) this.runs.confirm(run);
+    this.strays = found.length;
     for (const each of found) this.options.events.foundRun(this, each);
     for (const {run, cause} of gone) this.loseRun(run, cause);
   }
--- a/packages/dispatch/src/owner/upstream_speed.ts
+++ b/packages/dispatch/src/owner/upstream_speed.ts
@@ -9,26 +9,51 @@
 /** Bounds of one observation, as natural logarithms: 16 times either way. */
 const MAX_LOG_RATIO = Math.log(16);
 
+/**
+ * Half-life in ms of what is known of an upstream that runs nothing: a slow one
+ * is avoided, so its recovery would stay unseen.
+ */
+const HALF_LIFE_MS = 8_000;
+
+interface Known {
+  /** Natural logarithm of the time factor. */
+  readonly log: number;
+  readonly at: number;
+}
+
 /** Time factors: run time divided by the declared time. */
 export class UpstreamSpeed {
-  private readonly logs = new Map<string, number>();
+  private readonly known = new Map<string, Known>();
   private mean = 0;
 
-  /** Learns from a run that ended. */
-  observe(upstream: string, runMs: number, declaredMs: number): void {
+  /** Learns from a run that ended, or that will as far as it shows. */
+  observe(
+    upstream: string,
+    runMs: number,
+    declaredMs: number,
+    now: number,
+  ): void {
     const ratio = Math.log(Math.max(runMs, 1) / Math.max(declaredMs, 1));
     const bounded = Math.max(-MAX_LOG_RATIO, Math.min(MAX_LOG_RATIO, ratio));
-    const known = this.logs.get(upstream) ?? this.mean;
-    this.logs.set(upstream, known + NEWEST_WEIGHT * (bounded - known));
+    const log = this.log(upstream, now);
+    const next = log + NEWEST_WEIGHT * (bounded - log);
+    this.known.set(upstream, {log: next, at: now});
     this.mean += MEAN_WEIGHT * (bounded - this.mean);
   }
 
   /** Expected run time divided by the declared time. */
-  factor(upstream: string): number {
-    return Math.exp(this.logs.get(upstream) ?? this.mean);
+  factor(upstream: string, now: number): number {
+    return Math.exp(this.log(upstream, now));
   }
 
   forget(upstream: string): void {
-    this.logs.delete(upstream);
+    this.known.delete(upstream);
+  }
+
+  private log(upstream: string, now: number): number {
+    const known = this.known.get(upstream);
+    if (!known) return this.mean;
+    const kept = 2 ** (-(now - known.at) / HALF_LIFE_MS);
+    return this.mean + kept * (known.log - this.mean);
   }
 }
--- a/packages/dispatch/tests/fake_upstreams.ts
+++ b/packages/dispatch/tests/fake_upstreams.ts
@@ -22,6 +22,8 @@
   readonly task: TaskId;
   readonly run: number;
   readonly timer: NodeJS.Timeout;
+  readonly from: number;
+  readonly runMs: number;
 }
 
 /** A run as it took place, for checks on all upstreams together. */
@@ -134,10 +136,10 @@
     if (order.waitMs > 0 && this.ends.length === 0) {
       await this.endOrTimeout(order.waitMs);
     }
-    const active = [...this.runs.values()].map(({task, run}) => ({
+    const active = [...this.runs.values()].map(({task, run, from, runMs}) => ({
       task,
       run,
-      percent: 50,
+      percent: Math.floor(((performance.now() - from) * 100) / runMs),
     }));
     const {clockMs, startedAt, ends} = this;
     return {type: 'held', clockMs, startedAt, active, ends: [...ends]};
@@ -154,7 +156,9 @@
     };
     this.spans.push(span);
     const timer = setTimeout(() => this.end(key, this.outcome), this.runMs);
-    this.runs.set(key, {task: order.task, run: order.run, timer});
+    const {task, run} = order;
+    const {from} = span;
+    this.runs.set(key, {task, run, timer, from, runMs: this.runMs});
   }
 
   private end(key: string, outcome: RunEnd['outcome']): void {
--- a/packages/dispatch/tests/owner/owner.test.ts
+++ b/packages/dispatch/tests/owner/owner.test.ts
@@ -54,11 +54,33 @@
       each.runMs = 800;
       each.fate = kind => (kind === 'start' ? 'answer-lost' : 'delivered');
     }
-    const reply = await harness.settled(harness.submit('a'));
+    const steps = [step(1, {declaredMs: 800})];
+    const reply = await harness.settled(harness.submit('a', steps));
     expect(reply).to.deep.equal({type: 'ended', state: 'completed'});
     expect(harness.spans).to.have.length(1);
   });
 
+  it('restarts a task elsewhere that stands still on its upstream', async () => {
+    await begin(2);
+    for (const each of harness.upstreams) each.runMs = 1_000_000;
+    const answer = harness.submit('a');
+    await harness.advance(50);
+    for (const each of harness.upstreams) each.runMs = 60;
+    const reply = await harness.settled(answer);
+    expect(reply).to.deep.equal({type: 'ended', state: 'completed'});
+    expect(harness.spans.map(({outcome}) => outcome)).to.deep.equal([
+      'stopped',
+      'done',
+    ]);
+  });
+
+  it('lets a run go on that is slow, but ends before a restart would', async () => {
+    await begin(2);
+    for (const each of harness.upstreams) each.runMs = 320;
+    await harness.settled(harness.submit('a'));
+    expect(harness.spans).to.have.length(1);
+  });
+
   it('forbids a delayed start before it runs the task elsewhere', async () => {
     await begin(2);
     harness.upstream(0).fate = k => (k === 'start' ? 'late' : 'delivered');
@@ -114,6 +136,47 @@
     expect(harness.spans).to.have.length(2);
   });
 
+  // Seen on the platform: the caller was faster than the upstream's first answer.
+  it('adopts a run that an upstream lists only after its job was submitted again', async () => {
+    await begin(2);
+    const steps = [step(2, {declaredMs: 900})];
+    for (const each of harness.upstreams) each.runMs = 900;
+    void harness.submit('a', steps);
+    await harness.advance(50);
+    harness.kill();
+    for (const each of harness.upstreams) {
+      each.fate = kind => (kind === 'hold' ? 'unreached' : 'delivered');
+    }
+    await harness.lead();
+    const answer = harness.submit('a', steps);
+    await harness.advance(10);
+    for (const each of harness.upstreams) each.fate = () => 'delivered';
+    const reply = await harness.settled(answer);
+    expect(reply).to.deep.equal({type: 'ended', state: 'completed'});
+    expect(harness.spans).to.have.length(2);
+  });
+
+  it('waits for the end of a stray run that is being stopped', async () => {
+    await begin(2);
+    for (const each of harness.upstreams) each.runMs = 60_000;
+    void harness.submit('a');
+    await harness.advance(50);
+    harness.kill();
+    await harness.lead();
+    for (const each of harness.upstreams) {
+      each.fate = kind => (kind === 'stop' ? 'lost' : 'delivered');
+      each.runMs = 60;
+    }
+    // Longer than runs of unknown jobs are left alone.
+    await harness.advance(2_600);
+    const answer = harness.submit('a');
+    await harness.advance(300);
+    expect(harness.spans).to.have.length(1);
+    for (const each of harness.upstreams) each.fate = () => 'delivered';
+    const reply = await harness.settled(answer);
+    expect(reply).to.deep.equal({type: 'ended', state: 'completed'});
+  });
+
   it('keeps accepted jobs and their ends over a change of the owner', async () => {
     await begin(2);
     await harness.settled(harness.store('a', [step(2), step(1, {after: [0]})]));
