--- a/packages/dispatch/src/instance/leader_client.ts
+++ b/packages/dispatch/src/instance/leader_client.ts
@@ -171,7 +171,10 @@
       onUp: () => this.up(address),
       onDown: () => this.down(address),
       onMalformed: err =>
-        this.options.logger.warn('peer-malformed', {peer: address, err}),
+        this.options.logger.warn('member-message-malformed', {
+          peer: address,
+          err,
+        }),
     });
     this.peers.set(address, {address, link, pending: new Map(), view: null});
   }
@@ -179,7 +182,7 @@
   private up(address: string): void {
     const peer = this.peers.get(address);
     if (!peer) return;
-    this.options.logger.info('peer-up', {peer: address});
+    this.options.logger.info('member-connected', {peer: address});
     peer.link.send(this.options.self);
     this.options.onUp?.(address);
     this.notify();
@@ -188,7 +191,7 @@
   private down(address: string): void {
     const peer = this.peers.get(address);
     if (!peer) return;
-    this.options.logger.warn('peer-down', {
+    this.options.logger.warn('member-disconnected', {
       peer: address,
       pendingCalls: peer.pending.size,
     });
--- a/packages/dispatch/src/instance/member.ts
+++ b/packages/dispatch/src/instance/member.ts
@@ -157,7 +157,8 @@
         onOpen: channel => this.greet(channel),
         onMessage: (channel, message) => void this.receive(channel, message),
         onClose: () => undefined,
-        onMalformed: err => logger.warn('peer-malformed', {err}),
+        onMalformed: err =>
+          logger.warn('member-message-malformed', {peer: 'incoming', err}),
       }),
     );
     this.life.every('view', VIEW_PERIOD_MS, () => this.tellView());
--- a/packages/dispatch/src/owner/dispatcher.ts
+++ b/packages/dispatch/src/owner/dispatcher.ts
@@ -193,14 +193,10 @@
   contactChanged(session: UpstreamSession, from: Contact, cause: string): void {
     const {contact, record, runs} = session;
     const {logger, metrics} = this.options;
-    const level = contact === 'live' ? 'info' : 'warn';
-    logger[level]('upstream-contact', {
-      upstream: record.id,
-      from,
-      to: contact,
-      cause,
-      runs: runs.size,
-    });
+    const {id} = record;
+    const fields = {upstream: id, from, to: contact, cause, runs: runs.size};
+    if (contact === 'live') logger.info('upstream-reached', fields);
+    else logger.warn('upstream-not-reached', fields);
     metrics.increment('upstream.contact_changes', 1, {to: contact});
     if (contact === 'lost') this.found.endedAll(session);
     if (contact === 'live') this.schedule();
--- a/packages/dispatch/src/owner/task_outcomes.ts
+++ b/packages/dispatch/src/owner/task_outcomes.ts
@@ -146,7 +146,7 @@
       now,
     );
     for (const {state, reason} of changes) {
-      logger.warn('upstream-health', {upstream: id, state, reason});
+      logger.warn('upstream-ejection', {upstream: id, state, reason});
     }
   }
 
--- a/tests/emitted_names.ts
+++ b/tests/emitted_names.ts
@@ -21,12 +21,15 @@
 const METRIC_METHODS = new Set(['increment', 'gauge', 'timing']);
 
 function sourceFiles(): string[] {
-  return readdirSync(join(ROOT, 'packages')).flatMap(name => {
-    const folder = join(ROOT, 'packages', name, 'src');
-    return readdirSync(folder, {recursive: true, encoding: 'utf8'})
-      .filter(file => file.endsWith('.ts'))
-      .map(file => join(folder, file));
-  });
+  const packages = readdirSync(join(ROOT, 'packages'));
+  return [...packages.map(name => `packages/${name}`), 'platform'].flatMap(
+    part => {
+      const folder = join(ROOT, part, 'src');
+      return readdirSync(folder, {recursive: true, encoding: 'utf8'})
+        .filter(file => file.endsWith('.ts'))
+        .map(file => join(folder, file));
+    },
+  );
 }
 
 function createProgram(): ts.Program {
