--- a/packages/dispatch/src/owner/dispatcher.ts
+++ b/packages/dispatch/src/owner/dispatcher.ts
@@ -64,6 +64,8 @@
   /** Told of the end of a job that isn't replicated. */
   onTransientEnd: (job: string, state: 'completed' | 'failed') => void = () =>
     undefined;
+  /** Told of a job that is worth nothing any more and has not begun. */
+  onHopeless: (job: string) => void = () => undefined;
   private readonly speed = new UpstreamSpeed();
   private readonly health = new OutlierEjection({
     consecutiveFailures: EJECT_AFTER_FAILURES,
@@ -85,7 +87,12 @@
       isSettled: () => this.isEnabled,
     });
     const placement = new PlacementPolicy(speed, health);
-    this.starter = new RunStarter({...options, placement, health});
+    this.starter = new RunStarter({
+      ...options,
+      placement,
+      health,
+      onHopeless: job => this.onHopeless(job),
+    });
     this.outcomes = new TaskOutcomes({
       ...options,
       speed,
--- a/packages/dispatch/src/owner/placement.ts
+++ b/packages/dispatch/src/owner/placement.ts
@@ -2,15 +2,10 @@
 import type {OutlierEjection} from '@mustardferry/decisions';
 
 import type {BoardTask} from './board_types.js';
+import {OVERHEAD_MS} from './ready_queue.js';
 import type {UpstreamSession} from './upstream_session.js';
 import type {UpstreamSpeed} from './upstream_speed.js';
 
-/**
- * Time that a job spends on the way in milliseconds, besides waiting and
- * running: the admission runs beside the first task, the end is committed.
- */
-const OVERHEAD_MS = 30;
-
 /** Margin in milliseconds below which an upstream counts as too slow. */
 const MIN_MARGIN_MS = 15;
 
@@ -44,6 +39,12 @@
     private readonly health: OutlierEjection,
   ) {}
 
+  /** Time factor of the fastest upstream, busy or not; 1 without any. */
+  fastestFactor(sessions: readonly UpstreamSession[], now: number): number {
+    const factors = sessions.map(({key}) => this.speed.factor(key, now));
+    return factors.length === 0 ? 1 : Math.min(...factors);
+  }
+
   choose(task: BoardTask, input: PlacementInput): Placement | null {
     const scarce = usedShare(input.sessions) > SCARCE_SHARE;
     let best: Placement | null = null;
--- a/packages/dispatch/src/owner/ready_queue.ts
+++ b/packages/dispatch/src/owner/ready_queue.ts
@@ -2,33 +2,48 @@
 import type {BoardTask} from './board_types.js';
 
 /**
- * Share of the declared run time that a task takes at best; upstreams differ
- * by about this much from the mean.
+ * Time in ms that a job spends on the way besides waiting and running: its
+ * start, the notice of its end, and the answer to its caller.
  */
-const BEST_RUN_SHARE = 0.6;
+export const OVERHEAD_MS = 25;
 
-/** A job is worth nothing once it takes this many times its objective. */
-const WORTHLESS_FACTOR = 3;
+/**
+ * A job is worth nothing once it takes three times its objective; objectives
+ * are known to about a third, as declared run times are off.
+ */
+const WORTHLESS_FACTOR = 4;
 
-/** Tasks in one band that may be passed over before a pass ends. */
+/** Tasks in one list that may be passed over before the next list. */
 const MAX_PASSED_OVER = 24;
 
-type Band = 'in-time' | 'late' | 'worthless';
+/** Whether a job can still meet its objective. */
+export type Band = 'in-time' | 'late' | 'worthless';
 
 const BANDS: readonly Band[] = ['in-time', 'late', 'worthless'];
 
 /** What `offer` did with a task. */
 export type OfferResult =
   | 'placed'
-  /** No upstream has room for this task. */
+  /** No upstream that suits this task has room. */
   | 'passed-over'
+  /** The task is not to be offered again. */
+  | 'dropped'
   /** No upstream has room for any task. */
   | 'full';
 
+/** One pass over the queue. */
+export interface OfferPass {
+  readonly now: number;
+  /** Time factor of the fastest upstream of the pool. */
+  readonly fastestFactor: number;
+  readonly offer: (task: BoardTask, band: Band) => OfferResult;
+}
+
 /**
  * Orders tasks by whether their job can still meet its objective, then by the
- * priority of the queue, then by age, so that a burst doesn't make every job
- * late.
+ * priority of the queue, then by age. In a burst some jobs are late, instead
+ * of all of them. Jobs that have begun keep their place, as their work would
+ * be lost.
  */
 export class ReadyQueue {
   private readonly bands: Record<Band, Map<number, BoardTask[]>> = {
@@ -48,23 +63,18 @@
   }
 
   /** Offers tasks in order until no upstream has room. */
-  offerAll(now: number, offer: (task: BoardTask) => OfferResult): void {
+  offerAll(pass: OfferPass): void {
     for (const band of BANDS) {
       const byPriority = this.bands[band];
       const priorities = [...byPriority.keys()].sort((a, b) => a - b);
       for (const priority of priorities) {
         const list = byPriority.get(priority) ?? [];
-        if (!this.offerList(band, list, now, offer)) return;
+        if (!this.offerList(band, list, pass)) return;
       }
     }
   }
 
-  private offerList(
-    band: Band,
-    list: BoardTask[],
-    now: number,
-    offer: (task: BoardTask) => OfferResult,
-  ): boolean {
+  private offerList(band: Band, list: BoardTask[], pass: OfferPass): boolean {
     const passed: BoardTask[] = [];
     let taken = 0;
     let goesOn = true;
@@ -74,14 +84,14 @@
         this.count--;
         continue;
       }
-      const due = bandOf(task, now);
+      const due = bandOf(task, pass);
       if (BANDS.indexOf(due) > BANDS.indexOf(band)) {
         this.count--;
         this.put(due, task);
         continue;
       }
-      const result = offer(task);
-      if (result === 'placed') this.count--;
+      const result = pass.offer(task, band);
+      if (result === 'placed' || result === 'dropped') this.count--;
       else passed.push(task);
       goesOn = result !== 'full';
     }
@@ -98,10 +108,9 @@
   }
 }
 
-function bandOf({job, step}: BoardTask, now: number): Band {
-  const earliestMs = now - job.since + step.declaredMs * BEST_RUN_SHARE;
-  if (earliestMs <= job.objectiveMs) return 'in-time';
-  return earliestMs <= job.objectiveMs * WORTHLESS_FACTOR
-    ? 'late'
-    : 'worthless';
+function bandOf({job, step}: BoardTask, {now, fastestFactor}: OfferPass): Band {
+  const elapsedMs = now - job.since;
+  if (elapsedMs > job.objectiveMs * WORTHLESS_FACTOR) return 'worthless';
+  const earliestMs = elapsedMs + step.declaredMs * fastestFactor + OVERHEAD_MS;
+  return job.started || earliestMs <= job.objectiveMs ? 'in-time' : 'late';
 }
--- a/packages/dispatch/src/owner/run_starter.ts
+++ b/packages/dispatch/src/owner/run_starter.ts
@@ -4,7 +4,7 @@
 
 import type {BoardTask, Run} from './board_types.js';
 import type {Placement, PlacementPolicy} from './placement.js';
-import type {OfferResult} from './ready_queue.js';
+import {type Band, type OfferResult, OVERHEAD_MS} from './ready_queue.js';
 import {RunProgress} from './run_progress.js';
 import type {TaskBoard} from './task_board.js';
 import type {UpstreamSession} from './upstream_session.js';
@@ -17,12 +17,22 @@
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly remoteFactor: number;
+  /** Told of a job that is worth nothing any more and has not begun. */
+  readonly onHopeless: (job: string) => void;
   readonly mayOrder: () => boolean;
 }
 
 /** Upstreams of a pool up to which a task may have to use all of them. */
 const SMALL_POOL = 4;
 
+/** What tasks are offered to in one pass. */
+interface Offer {
+  readonly sessions: readonly UpstreamSession[];
+  readonly now: number;
+  /** Time factor of the fastest upstream, busy or not. */
+  readonly fastestFactor: number;
+}
+
 /** Owns the pools of upstreams. */
 export class RunStarter {
   private readonly pools = new Map<string, UpstreamSession[]>();
@@ -79,25 +89,36 @@
     for (const [pool, queue] of this.options.board.readyQueues) {
       if (queue.size === 0) continue;
       const sessions = this.sessionsOf(pool);
-      queue.offerAll(now, task => this.offer(task, sessions, now));
+      const {placement} = this.options;
+      const fastestFactor = placement.fastestFactor(sessions, now);
+      queue.offerAll({
+        now,
+        fastestFactor,
+        offer: (task, band) =>
+          this.offer(task, band, {sessions, now, fastestFactor}),
+      });
     }
   }
 
-  private offer(
-    task: BoardTask,
-    sessions: readonly UpstreamSession[],
-    now: number,
-  ): OfferResult {
+  private offer(task: BoardTask, band: Band, offer: Offer): OfferResult {
+    const {remoteFactor, placement, onHopeless} = this.options;
+    const {admitted, started} = task.job;
+    if (band === 'worthless' && !started && !admitted.durable) {
+      onHopeless(admitted.id);
+      return 'dropped';
+    }
+    const {sessions, now} = offer;
     if (sessions.length === 0) return 'full';
-    const {remoteFactor} = this.options;
-    const input = {sessions, now, remoteFactor};
-    const found = this.options.placement.choose(task, input);
-    if (found) {
-      this.start(task, found, now);
-      return 'placed';
+    const found = placement.choose(task, {sessions, now, remoteFactor});
+    if (!found) {
+      if (sessions.length <= SMALL_POOL) task.avoid = [];
+      return 'passed-over';
     }
-    if (sessions.length <= SMALL_POOL) task.avoid = [];
-    return 'passed-over';
+    if (found.marginMs < 0 && isInTimeElsewhere(task, offer)) {
+      return 'passed-over';
+    }
+    this.start(task, found, now);
+    return 'placed';
   }
 
   private start(task: BoardTask, found: Placement, now: number): void {
@@ -129,3 +150,12 @@
     void session.start(run);
   }
 }
+
+/** Whether a task would end in time on the fastest upstream. */
+function isInTimeElsewhere(
+  {job, step}: BoardTask,
+  {now, fastestFactor}: Offer,
+): boolean {
+  const endMs = now - job.since + step.declaredMs * fastestFactor + OVERHEAD_MS;
+  return endMs <= job.objectiveMs;
+}
--- a/packages/dispatch/src/owner/transient_jobs.ts
+++ b/packages/dispatch/src/owner/transient_jobs.ts
@@ -30,6 +30,7 @@
   private readonly answers = new Map<string, Reply>();
 
   constructor(private readonly options: TransientJobsOptions) {
+    options.dispatcher.onHopeless = id => this.abandon(id, 'worth nothing');
     options.dispatcher.onTransientEnd = (id, state) => this.ended(id, state);
   }
 
--- /dev/null
+++ b/packages/dispatch/tests/jobs/dispatch_state.test.ts
@@ -0,0 +1,171 @@
+import {expect} from 'chai';
+
+import type {Command} from '../../src/jobs/commands.js';
+import {DispatchState} from '../../src/jobs/dispatch_state.js';
+import type {AdmittedJob} from '../../src/jobs/job_types.js';
+import {QUEUE, step} from '../owner_harness.js';
+
+const LIFE = {id: 'u', startedAt: 5};
+
+function job(id: string, tasks = 2): AdmittedJob {
+  return {
+    id,
+    payload: 'text',
+    steps: [step(tasks)],
+    durable: true,
+    queue: 'q',
+    pool: 'pool',
+    maxAttempts: 2,
+    admittedAt: 10,
+    term: 1,
+  };
+}
+
+function ends(
+  id: string,
+  indexes: readonly number[],
+  outcome: 'done' | 'failed',
+  upTo = 1,
+): Command {
+  return {
+    type: 'ends',
+    at: 20,
+    life: LIFE,
+    upTo,
+    ends: indexes.map(index => ({
+      task: {job: id, step: 0, index},
+      run: 1,
+      outcome,
+    })),
+  };
+}
+
+function upstream(startedAt: number): Command {
+  return {
+    type: 'upstream',
+    upstream: {
+      id: 'u',
+      startedAt,
+      pool: 'pool',
+      address: '10.0.0.1:1',
+      dataCentre: 'a',
+      leaving: false,
+      cpuMillis: 1,
+      memoryMb: 1,
+      accelerators: 0,
+      labels: [],
+    },
+  };
+}
+
+describe('DispatchState', () => {
+  let state: DispatchState;
+
+  beforeEach(() => {
+    state = new DispatchState();
+  });
+
+  function outcome(id: string): string | undefined {
+    return state.jobs.get(id)?.outcome;
+  }
+
+  it('completes a job with the end of its last task, and not before', () => {
+    state.apply({type: 'submit', job: job('a')});
+    state.apply(ends('a', [0], 'done'));
+    expect(outcome('a')).to.equal('open');
+    state.apply(ends('a', [0], 'done'));
+    expect(outcome('a')).to.equal('open');
+    state.apply(ends('a', [1], 'done'));
+    expect(outcome('a')).to.equal('completed');
+  });
+
+  it('fails a job only when one task failed as often as allowed', () => {
+    state.apply({type: 'submit', job: job('a')});
+    state.apply(ends('a', [0, 1], 'failed'));
+    expect(outcome('a')).to.equal('open');
+    state.apply(ends('a', [0], 'failed'));
+    expect(outcome('a')).to.equal('failed');
+  });
+
+  it('keeps a cancel for good', () => {
+    state.apply({type: 'submit', job: job('a')});
+    state.apply({type: 'cancel', job: 'a', at: 15});
+    state.apply(ends('a', [0, 1], 'done'));
+    state.apply({type: 'submit', job: job('a')});
+    expect(outcome('a')).to.equal('cancelled');
+  });
+
+  it('remains one job when it is submitted again', () => {
+    state.apply({type: 'submit', job: job('a')});
+    state.apply(ends('a', [0], 'done'));
+    state.apply({type: 'submit', job: job('a')});
+    expect(state.jobs.get('a')?.remaining).to.equal(1);
+  });
+
+  it('counts ends that came before their job', () => {
+    state.apply(ends('a', [1], 'done'));
+    state.apply({type: 'submit', job: job('a')});
+    expect(state.jobs.get('a')?.remaining).to.equal(1);
+    expect(state.endsBefore('a')).to.deep.equal([]);
+  });
+
+  it('ignores ends of tasks that the job does not have', () => {
+    state.apply({type: 'submit', job: job('a')});
+    state.apply(ends('a', [7], 'done'));
+    expect(state.jobs.get('a')?.remaining).to.equal(2);
+  });
+
+  it('never lets an older revision replace a newer one', () => {
+    const configure = (revision: number): Command => ({
+      type: 'configure',
+      configuration: {revision, queues: [QUEUE], source: String(revision)},
+    });
+    state.apply(configure(7));
+    state.apply(configure(3));
+    state.apply({
+      type: 'configure',
+      configuration: {revision: 7, queues: [], source: 'other'},
+    });
+    expect(state.queues?.configuration.source).to.equal('7');
+  });
+
+  it('never lets an older life replace a newer one', () => {
+    state.apply(upstream(5));
+    state.apply(upstream(4));
+    expect(state.upstreams.get('u')?.record.startedAt).to.equal(5);
+  });
+
+  it('begins the list of ends anew with each life', () => {
+    state.apply(upstream(5));
+    state.apply(ends('x', [], 'done', 9));
+    expect(state.upstreams.get('u')?.acknowledged).to.equal(9);
+    state.apply(upstream(6));
+    expect(state.upstreams.get('u')?.acknowledged).to.equal(0);
+  });
+
+  it('forgets only jobs that ended before the time', () => {
+    state.apply({type: 'submit', job: job('open')});
+    state.apply({type: 'submit', job: job('ended')});
+    state.apply(ends('ended', [0, 1], 'done'));
+    state.apply({type: 'expire', before: 20});
+    expect([...state.jobs.keys()]).to.deep.equal(['open', 'ended']);
+    state.apply({type: 'expire', before: 21});
+    expect([...state.jobs.keys()]).to.deep.equal(['open']);
+  });
+
+  it('is the same after a snapshot and a restore', () => {
+    state.apply({
+      type: 'configure',
+      configuration: {revision: 1, queues: [QUEUE], source: 's'},
+    });
+    state.apply(upstream(5));
+    state.apply({type: 'submit', job: job('a')});
+    state.apply(ends('a', [0], 'done'));
+    state.apply(ends('b', [0], 'done'));
+    const copy = new DispatchState();
+    copy.restore(state.snapshot());
+    expect(copy.snapshot()).to.deep.equal(state.snapshot());
+    copy.apply(ends('a', [1], 'done'));
+    expect(copy.jobs.get('a')?.outcome).to.equal('completed');
+  });
+});
