--- a/packages/coordination/src/replicated_log/core_state.ts
+++ b/packages/coordination/src/replicated_log/core_state.ts
@@ -12,6 +12,11 @@
   /** Shortest election timeout; the longest is twice as long. */
   readonly electionTimeoutMs: number;
   readonly maxEntriesPerMessage: number;
+  /**
+   * Silence of a voter after which a registered member of another name may
+   * take its place; never by default.
+   */
+  readonly replaceSilentAfterMs?: number;
 }
 
 /** What the leader knows about one other member. */
--- a/packages/coordination/src/replicated_log/log_options.ts
+++ b/packages/coordination/src/replicated_log/log_options.ts
@@ -31,6 +31,11 @@
   readonly maxBatch?: number;
   /** Entries between snapshots; 1,000 by default. */
   readonly snapshotEveryEntries?: number;
+  /**
+   * Silence of a voter after which a registered member of another name may
+   * take its place; never by default.
+   */
+  readonly replaceSilentAfterMs?: number;
   /** Name of the member that should lead when it can; none by default. */
   readonly preferredLeader?: string;
   /** Random numbers in [0, 1); `Math.random` by default. */
@@ -57,6 +62,9 @@
     maxEntriesPerMessage: options.maxEntriesPerMessage ?? 64,
     maxBatch: options.maxBatch ?? 1000,
     snapshotEveryEntries: options.snapshotEveryEntries ?? 1000,
+    ...(options.replaceSilentAfterMs === undefined
+      ? {}
+      : {replaceSilentAfterMs: options.replaceSilentAfterMs}),
   };
 }
 
--- a/packages/coordination/src/replicated_log/replication.ts
+++ b/packages/coordination/src/replicated_log/replication.ts
@@ -249,10 +249,24 @@
   return state;
 }
 
+/** A voter that has been silent for so long that another may replace it. */
+export function replaceableVoter<C>(
+  ctx: StepContext<C>,
+  state: LogCoreState<C>,
+): MemberId | undefined {
+  const limitMs = ctx.cfg.replaceSilentAfterMs;
+  if (limitMs === undefined) return undefined;
+  return state.config.voters.find(voter => {
+    const ackedAt = state.progress[memberKey(voter)]?.ackedAt ?? -Infinity;
+    const since = Math.max(ackedAt, state.leaderSince);
+    return !sameMember(voter, state.self) && ctx.now - since > limitMs;
+  });
+}
+
 /**
- * Starts the replacement of a voter's old incarnation by a learner of the same
- * name that holds all committed entries and is registered. One at a time: the
- * previous replacement must be complete.
+ * Starts the replacement of a voter by a learner that holds all committed
+ * entries and is registered: of its own old incarnation, or of a voter that is
+ * silent. One at a time: the previous replacement must be complete.
  */
 export function promoteLearner<C>(
   ctx: StepContext<C>,
@@ -262,7 +276,9 @@
     return state;
   }
   for (const {member, match, ackedAt} of Object.values(state.progress)) {
-    const remove = state.config.voters.find(v => v.name === member.name);
+    const remove =
+      state.config.voters.find(v => v.name === member.name) ??
+      replaceableVoter(ctx, state);
     const ready =
       remove !== undefined &&
       !sameMember(remove, member) &&
--- a/packages/coordination/src/replicated_log/step.ts
+++ b/packages/coordination/src/replicated_log/step.ts
@@ -31,6 +31,7 @@
   broadcast,
   promoteLearner,
   receiveAppendReply,
+  replaceableVoter,
   requestTakeover,
   sendToAll,
 } from './replication.js';
@@ -230,10 +231,9 @@
   from: MemberId,
 ): LogCoreState<C> {
   const key = memberKey(from);
+  if (state.role !== 'leader' || state.progress[key]) return state;
   const nameVotes = state.config.voters.some(v => v.name === from.name);
-  if (state.role !== 'leader' || state.progress[key] || !nameVotes) {
-    return state;
-  }
+  if (!nameVotes && !replaceableVoter(ctx, state)) return state;
   const learner = newProgress(from, lastIndex(state) + 1, ctx.now);
   return {...state, progress: {...state.progress, [key]: learner}};
 }
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -3,7 +3,8 @@
   LeaderClient,
   type LeaderClientOptions,
 } from './instance/leader_client.js';
-export {Member, type MemberOptions} from './instance/member.js';
+export {Member} from './instance/member.js';
+export type {MemberOptions} from './instance/member_options.js';
 export {PauseDetector} from './instance/pause_detector.js';
 export type {
   Command,
--- a/packages/dispatch/src/instance/group_view.ts
+++ b/packages/dispatch/src/instance/group_view.ts
@@ -8,6 +8,8 @@
   readonly address: string;
   /** Null for a member without a vote. */
   readonly status: LogStatus | null;
+  /** Voters of the first start; empty while unknown. */
+  readonly firstVoters: readonly string[];
   /** Newest view that another member told. */
   readonly told: GroupView | null;
   /** Members that have connected. */
@@ -19,18 +21,20 @@
 /** The view from the log, or without a vote the one that others told. */
 export function currentView(input: ViewInput): GroupView {
   const {address, status, told, others, leads} = input;
-  const voters = status?.voters.map(({name}) => name) ?? told?.voters ?? [];
+  const firstVoters =
+    input.firstVoters.length > 0
+      ? input.firstVoters
+      : (told?.firstVoters ?? []);
+  const own = status?.role === 'learner' ? undefined : status;
+  const voters = own?.voters.map(({name}) => name) ?? told?.voters ?? [];
   const members = [...new Set([address, ...voters, ...others])].sort();
-  if (!status || status.role === 'learner') {
+  const group = {firstVoters, voters, members};
+  if (!own) {
     const {term = 0, leader = null} = told ?? {};
-    return {term, leader, voters, members};
+    return {...group, term, leader};
   }
-  const {term, leader} = status;
+  const {term, leader} = own;
   const isReady = leader?.name !== address || leads;
-  return {
-    term,
-    leader: isReady ? (leader?.name ?? null) : null,
-    voters,
-    members,
-  };
+  const name = leader?.name ?? null;
+  return {...group, term, leader: isReady ? name : null};
 }
--- a/packages/dispatch/src/instance/member.ts
+++ b/packages/dispatch/src/instance/member.ts
@@ -6,12 +6,8 @@
   ReplicatedLog,
 } from '@mustardferry/coordination';
 import {type FrameChannel, FrameServer} from '@mustardferry/links';
-import {
-  LifecycleManager,
-  type Logger,
-  type Metrics,
-} from '@mustardferry/runtime';
-import {DataFolder, type FileSystem} from '@mustardferry/storage';
+import {LifecycleManager} from '@mustardferry/runtime';
+import {DataFolder} from '@mustardferry/storage';
 
 import type {Command, CommandResult} from '../jobs/commands.js';
 import {DispatchState} from '../jobs/dispatch_state.js';
@@ -19,37 +15,25 @@
 import type {PeerMessage} from '../messages/peer_messages.js';
 import {Owner} from '../owner/owner.js';
 import {sleep} from '../owner/waiting.js';
-import type {UpstreamPort} from '../upstreams/upstream_port.js';
+import {FIRST_INCARNATION, firstMembers, firstVoters} from './first_voters.js';
 import {currentView} from './group_view.js';
-import {FIRST_INCARNATION, initialVoters} from './initial_voters.js';
 import {type CallOutcome, LeaderClient} from './leader_client.js';
 import {LinkTransport} from './link_transport.js';
+import type {MemberOptions} from './member_options.js';
 import {PauseDetector} from './pause_detector.js';
 
-/** Options of a member. Durations are in milliseconds. */
-export interface MemberOptions {
-  /** `IP:PORT` for other instances; also the member's name in the log. */
-  readonly address: string;
-  /** Addresses of members to begin with. */
-  readonly seeds: readonly string[];
-  /** Whether the whole group starts for the first time. */
-  readonly firstStart: boolean;
-  readonly files: FileSystem;
-  readonly dataFolder: string;
-  readonly port: UpstreamPort;
-  readonly logger: Logger;
-  readonly metrics: Metrics;
-  readonly leaseMs: number;
-  readonly remoteFactor: number;
-  readonly keepEndedMs: number;
-}
-
 /** Interval of heartbeats in ms. */
 const HEARTBEAT_MS = 60;
 
 /** Shortest election timeout in ms: five heartbeats. */
 const ELECTION_TIMEOUT_MS = 300;
 
+/**
+ * Silence in ms of a voter after which another member may take its place: a
+ * machine that restarts is back before.
+ */
+const REPLACE_SILENT_AFTER_MS = 6_000;
+
 /** Segment size of the journal; a tenth of the smallest disk. */
 const SEGMENT_BYTES = 8 * 1024 * 1024;
 
@@ -76,6 +60,7 @@
   private server!: FrameServer<PeerMessage>;
   private log: Log | null = null;
   private owner: Owner | null = null;
+  private firstVoters: readonly string[] = [];
   private told = '';
 
   private constructor(
@@ -168,30 +153,32 @@
       segmentBytes: SEGMENT_BYTES,
     });
     this.life.defer('storage', () => storage.close());
-    void this.joinGroup(storage).catch((err: unknown) => this.failed(err));
+    void this.joinGroup(folder, storage).catch((err: unknown) =>
+      this.failed(err),
+    );
   }
 
-  /** Opens the log, for a member that has a vote or had one. */
-  private async joinGroup(storage: DiskLogStorage<Command>): Promise<void> {
-    const {seeds, address, logger} = this.options;
-    const voters = await initialVoters({
+  /** Opens the log; a member without a vote may replace a silent voter. */
+  private async joinGroup(
+    folder: DataFolder,
+    storage: DiskLogStorage<Command>,
+  ): Promise<void> {
+    const {logger} = this.options;
+    this.firstVoters = await firstVoters({
       ...this.options,
-      hasLog: storage.hasContent,
-      told: () => this.client.view?.voters ?? [],
+      folder,
+      told: () => this.client.view?.firstVoters ?? [],
     });
-    if (!voters.some(({name}) => name === address)) {
-      logger.info('member-without-vote', {seeds});
-      return;
-    }
     const log = await ReplicatedLog.open<Command, CommandResult>({
       self: this.self,
-      voters,
+      voters: firstMembers(this.firstVoters),
       mode: 'sync-everything',
       storage,
       transport: new LinkTransport(this.self, () => this.client),
       machine: this.state,
       heartbeatMs: HEARTBEAT_MS,
       electionTimeoutMs: ELECTION_TIMEOUT_MS,
+      replaceSilentAfterMs: REPLACE_SILENT_AFTER_MS,
       snapshotEveryEntries: SNAPSHOT_EVERY_ENTRIES,
       onFailure: err => this.failed(err),
     });
@@ -207,9 +194,7 @@
 
   private failed(err: unknown): void {
     this.options.logger.error('member-failed', {err});
-    // The process restarts and recovers from what was synced.
-    process.exitCode = 1;
-    setImmediate(() => process.exit());
+    this.options.onFailure();
   }
 
   private setLeadership(leads: boolean, term: number): void {
@@ -273,6 +258,7 @@
     return currentView({
       address: this.options.address,
       status: this.log?.status() ?? null,
+      firstVoters: this.firstVoters,
       told: this.client.view,
       others: [...this.others],
       leads: this.owner !== null,
--- a/packages/dispatch/src/messages/calls.ts
+++ b/packages/dispatch/src/messages/calls.ts
@@ -55,6 +55,8 @@
   readonly term: number;
   /** Address of the leader; null when none is known. */
   readonly leader: string | null;
+  /** Addresses of the voters of the first start; empty while unknown. */
+  readonly firstVoters: readonly string[];
   /** Addresses of the members with a vote. */
   readonly voters: readonly string[];
   /** Addresses of all instances that serve control. */
--- a/packages/storage/src/index.ts
+++ b/packages/storage/src/index.ts
@@ -1,5 +1,10 @@
 export {DataFolder, type DataFolderOptions} from './data_folder.js';
-export {FileSystem, NodeFileSystem, OpenFile} from './file_system.js';
+export {
+  FileSystem,
+  NodeFileSystem,
+  OpenFile,
+  writeFileDurably,
+} from './file_system.js';
 export {Journal, type JournalStats} from './journal.js';
 export type {JournalRecord, TornTail} from './journal_segments.js';
 export type {JournalOptions} from './segment_writer.js';
