--- a/packages/dispatch/src/instance/leader_client.ts
+++ b/packages/dispatch/src/instance/leader_client.ts
@@ -109,7 +109,11 @@
       if (left <= 0 || hopeless) return {type: 'unanswered', mayHaveRun};
       const reply = await this.attempt(call, left);
       if (typeof reply === 'object' && isFinal(reply)) {
-        return {type: 'replied', reply};
+        // A later leader doesn't know what an earlier one began.
+        const isUntrue = reply.type === 'refused' && mayHaveRun;
+        return isUntrue
+          ? {type: 'unanswered', mayHaveRun}
+          : {type: 'replied', reply};
       }
       if (reply === 'lost' || reply === 'timeout') mayHaveRun = true;
       if (typeof reply === 'object' && reply.type === 'interrupted') {
