--- a/packages/dispatch/src/instance/leader_client.ts
+++ b/packages/dispatch/src/instance/leader_client.ts
@@ -12,7 +12,7 @@
   readonly seeds: readonly string[];
   readonly logger: Logger;
   /** Answers calls on an instance that leads; resolves null elsewhere. */
-  readonly local?: (call: Call) => Promise<Reply> | null;
+  readonly local?: (call: Call, ageMs: number) => Promise<Reply> | null;
   /** Told of messages that are not part of calls. */
   readonly onMessage?: (from: string, message: PeerMessage) => void;
   /** Told when a connection opened. */
@@ -101,13 +101,14 @@
    * are idempotent.
    */
   async call(call: Call, timeoutMs: number): Promise<CallOutcome> {
-    const deadline = performance.now() + timeoutMs;
+    const takenAt = performance.now();
+    const deadline = takenAt + timeoutMs;
     let mayHaveRun = false;
     for (;;) {
       const left = deadline - performance.now();
       const hopeless = this.options.local === undefined && this.isIsolated;
       if (left <= 0 || hopeless) return {type: 'unanswered', mayHaveRun};
-      const reply = await this.attempt(call, left);
+      const reply = await this.attempt(call, takenAt, left);
       if (typeof reply === 'object' && isFinal(reply)) {
         // A later leader doesn't know what an earlier one began.
         const isUntrue = reply.type === 'refused' && mayHaveRun;
@@ -131,18 +132,20 @@
 
   private async attempt(
     call: Call,
+    takenAt: number,
     timeoutMs: number,
   ): Promise<Reply | 'lost' | 'timeout' | 'no-leader'> {
-    const local = this.options.local?.(call);
+    const ageMs = performance.now() - takenAt;
+    const local = this.options.local?.(call, ageMs);
     if (local) return Promise.race([local, expiry(timeoutMs)]);
     const {leader} = this;
     if (!leader) return 'no-leader';
-    return this.exchange(leader, call, timeoutMs);
+    return this.exchange(leader, {call, ageMs}, timeoutMs);
   }
 
   private exchange(
     peer: Peer,
-    call: Call,
+    content: {readonly call: Call; readonly ageMs: number},
     timeoutMs: number,
   ): Promise<Reply | 'lost' | 'timeout'> {
     const id = this.nextId++;
@@ -156,7 +159,7 @@
         peer.pending.delete(id);
         resolve(reply);
       });
-      peer.link.send({type: 'call', id, call});
+      peer.link.send({type: 'call', id, ...content});
     });
   }
 
--- a/packages/dispatch/src/instance/member.ts
+++ b/packages/dispatch/src/instance/member.ts
@@ -81,7 +81,7 @@
         },
         seeds,
         logger,
-        local: call => this.local(call),
+        local: (call, ageMs) => this.local(call, ageMs),
       }),
     );
   }
@@ -214,8 +214,8 @@
     this.tellView();
   }
 
-  private local(call: Call): Promise<Reply> | null {
-    return this.owner?.handle(call) ?? null;
+  private local(call: Call, ageMs: number): Promise<Reply> | null {
+    return this.owner?.handle(call, ageMs) ?? null;
   }
 
   private greet(channel: FrameChannel<PeerMessage>): void {
@@ -235,8 +235,10 @@
         this.log?.receive(message.from, message.message as LogMessage<Command>);
         return;
       case 'call': {
-        const {id, call} = message;
-        const reply = (await this.local(call)) ?? {type: 'not-leader' as const};
+        const {id, call, ageMs} = message;
+        const reply = (await this.local(call, ageMs)) ?? {
+          type: 'not-leader' as const,
+        };
         channel.send({type: 'reply', id, reply});
         return;
       }
--- a/packages/dispatch/src/messages/calls.ts
+++ b/packages/dispatch/src/messages/calls.ts
@@ -14,7 +14,7 @@
   | (Addressed & {
       readonly type: 'submit';
       readonly job: JobRequest;
-      /** How long the caller waits for an answer. */
+      /** How long the caller waits for an answer, from its call on. */
       readonly patienceMs: number;
     })
   | (Addressed & {readonly type: 'state'})
--- a/packages/dispatch/src/messages/peer_messages.ts
+++ b/packages/dispatch/src/messages/peer_messages.ts
@@ -15,7 +15,13 @@
 /** Any message between instances. */
 export type PeerMessage =
   | Hello
-  | {readonly type: 'call'; readonly id: number; readonly call: Call}
+  | {
+      readonly type: 'call';
+      readonly id: number;
+      readonly call: Call;
+      /** Time in ms since the caller's instance took the call. */
+      readonly ageMs: number;
+    }
   | {readonly type: 'reply'; readonly id: number; readonly reply: Reply}
   | {readonly type: 'view'; readonly view: GroupView}
   | {
--- a/packages/dispatch/src/owner/call_handler.ts
+++ b/packages/dispatch/src/owner/call_handler.ts
@@ -57,9 +57,9 @@
   }
 
   /** Answers a call; failures of the log become replies. */
-  async handle(call: Call): Promise<Reply> {
+  async handle(call: Call, ageMs: number): Promise<Reply> {
     try {
-      return await this.dispatch(call);
+      return await this.dispatch(call, ageMs);
     } catch (err) {
       this.options.logger.warn('call-interrupted', {call: call.type, err});
       const hadNoEffect =
@@ -70,10 +70,10 @@
     }
   }
 
-  private dispatch(call: Call): Promise<Reply> | Reply {
+  private dispatch(call: Call, ageMs: number): Promise<Reply> | Reply {
     switch (call.type) {
       case 'submit':
-        return this.submit(call);
+        return this.submit(call, performance.now() - ageMs);
       case 'state':
         return this.state(call.host, call.path);
       case 'cancel':
@@ -94,7 +94,7 @@
     }
   }
 
-  private submit(call: SubmitCall): Promise<Reply> | Reply {
+  private submit(call: SubmitCall, since: number): Promise<Reply> | Reply {
     const {state, board, logger} = this.options;
     const {queues} = state;
     const {job} = call;
@@ -116,8 +116,8 @@
     }
     const answered = this.transients.known(job.id);
     if (answered) return answered;
-    if (!job.durable) return this.runTransient(call, queue);
-    const admission = this.admit(call, queue).finally(() =>
+    if (!job.durable) return this.runTransient(call, queue, since);
+    const admission = this.admit(call, queue, since).finally(() =>
       this.submitting.delete(job.id),
     );
     this.submitting.set(job.id, admission);
@@ -138,12 +138,16 @@
    * Tasks start beside the commit: a leader that fails in between leaves runs
    * that the next one finds on the upstreams before it starts anything.
    */
-  private async admit({job}: SubmitCall, queue: QueueConfig): Promise<Reply> {
+  private async admit(
+    {job}: SubmitCall,
+    queue: QueueConfig,
+    since: number,
+  ): Promise<Reply> {
     const {propose, dispatcher, term, metrics} = this.options;
     const admitted = admittedJob(job, queue, term);
     const now = performance.now();
     const early = !dispatcher.earlyEndJobs.has(job.id);
-    if (early) dispatcher.place(admitted, queue);
+    if (early) dispatcher.place(admitted, queue, since);
     try {
       await propose({type: 'submit', job: admitted});
     } catch {
@@ -160,11 +164,13 @@
   private runTransient(
     {job, patienceMs}: SubmitCall,
     queue: QueueConfig,
+    since: number,
   ): Promise<Reply> {
     const admitted = admittedJob(job, queue, this.options.term);
     this.options.metrics.increment('jobs.accepted');
     this.reportAccepted(admitted, queue, 0);
-    return this.transients.submit(admitted, queue, patienceMs);
+    const restMs = patienceMs - (performance.now() - since);
+    return this.transients.submit(admitted, queue, {since, restMs});
   }
 
   private reportAccepted(
--- a/packages/dispatch/src/owner/dispatcher.ts
+++ b/packages/dispatch/src/owner/dispatcher.ts
@@ -162,10 +162,10 @@
     }
   }
 
-  /** Adds a job and starts what it can. */
-  place(job: AdmittedJob, queue: QueueConfig): void {
+  /** Adds a job that was taken at a time, and starts what it can. */
+  place(job: AdmittedJob, queue: QueueConfig, since: number): void {
     const {board, state} = this.options;
-    const created = board.admit(job, queue, performance.now(), task =>
+    const created = board.admit(job, queue, since, task =>
       this.lingering.get(task),
     );
     for (const {task, outcome} of state.endsBefore(job.id)) {
--- a/packages/dispatch/src/owner/owner.ts
+++ b/packages/dispatch/src/owner/owner.ts
@@ -101,10 +101,15 @@
     this.begin();
   }
 
-  /** Answers a call. */
-  async handle(call: Call): Promise<Reply> {
+  /**
+   * Answers a call.
+   *
+   * @param ageMs Time since the caller's instance took the call; more than the
+   *     way where an earlier leader was lost.
+   */
+  async handle(call: Call, ageMs = 0): Promise<Reply> {
     if (!this.mayOrder()) return {type: 'not-leader'};
-    return this.calls.handle(call);
+    return this.calls.handle(call, ageMs);
   }
 
   close(): void {
--- a/packages/dispatch/src/owner/placement.ts
+++ b/packages/dispatch/src/owner/placement.ts
@@ -45,8 +45,13 @@
     return factors.length === 0 ? 1 : Math.min(...factors);
   }
 
+  /** Share of the processors of the upstreams that runs take. */
+  usedShare(sessions: readonly UpstreamSession[]): number {
+    return usedShare(sessions);
+  }
+
   choose(task: BoardTask, input: PlacementInput): Placement | null {
-    const scarce = usedShare(input.sessions) > SCARCE_SHARE;
+    const scarce = this.usedShare(input.sessions) > SCARCE_SHARE;
     let best: Placement | null = null;
     for (const session of input.sessions) {
       if (!this.isEligible(task, session, input.now)) continue;
--- a/packages/dispatch/src/owner/run_starter.ts
+++ b/packages/dispatch/src/owner/run_starter.ts
@@ -22,6 +22,12 @@
   readonly mayOrder: () => boolean;
 }
 
+/**
+ * Share of the processors beyond which no task of a late job starts: what is
+ * left serves the next jobs in time, which are worth five times as much.
+ */
+const MAX_SHARE_WITH_LATE = 0.85;
+
 /** Upstreams of a pool up to which a task may have to use all of them. */
 const SMALL_POOL = 4;
 
@@ -109,6 +115,10 @@
     }
     const {sessions, now} = offer;
     if (sessions.length === 0) return 'full';
+    const isLate = band !== 'in-time';
+    if (isLate && placement.usedShare(sessions) > MAX_SHARE_WITH_LATE) {
+      return 'full';
+    }
     const found = placement.choose(task, {sessions, now, remoteFactor});
     if (!found) {
       if (sessions.length <= SMALL_POOL) task.avoid = [];
--- a/packages/dispatch/src/owner/task_board.ts
+++ b/packages/dispatch/src/owner/task_board.ts
@@ -47,15 +47,16 @@
   /**
    * Adds a job that this leader admits.
    *
+   * @param since When the caller's instance took the job.
    * @param lingering The run of an earlier submission that a task waits for.
    */
   admit(
     admitted: AdmittedJob,
     queue: QueueConfig,
-    now: number,
+    since: number,
     lingering: (task: string) => Run | undefined,
   ): BoardJob {
-    const job = this.create(admitted, queue, now, null);
+    const job = this.create(admitted, queue, since, null);
     for (const task of job.tasks.flat()) {
       const earlier = lingering(task.key);
       if (!earlier) continue;
--- a/packages/dispatch/src/owner/transient_jobs.ts
+++ b/packages/dispatch/src/owner/transient_jobs.ts
@@ -15,6 +15,14 @@
   readonly metrics: Metrics;
 }
 
+/** Times of a call in milliseconds. */
+export interface CallTimes {
+  /** When the caller's instance took the call. */
+  readonly since: number;
+  /** Rest of the caller's patience. */
+  readonly restMs: number;
+}
+
 interface Waiting {
   readonly reply: Promise<Reply>;
   readonly settle: (reply: Reply) => void;
@@ -43,13 +51,13 @@
   submit(
     job: AdmittedJob,
     queue: QueueConfig,
-    patienceMs: number,
+    {since, restMs}: CallTimes,
   ): Promise<Reply> {
     let settle: (reply: Reply) => void = () => undefined;
     const reply = new Promise<Reply>(resolve => (settle = resolve));
-    const timer = setTimeout(() => this.expire(job.id), patienceMs);
+    const timer = setTimeout(() => this.expire(job.id), restMs);
     this.waiting.set(job.id, {reply, settle, timer});
-    this.options.dispatcher.place(job, queue);
+    this.options.dispatcher.place(job, queue, since);
     return reply;
   }
 
