--- a/packages/dispatch/src/instance/leader_client.ts
+++ b/packages/dispatch/src/instance/leader_client.ts
@@ -13,10 +13,6 @@
   readonly logger: Logger;
   /** Answers calls on an instance that leads; resolves null elsewhere. */
   readonly local?: (call: Call, ageMs: number) => Promise<Reply> | null;
-  /** Told of messages that are not part of calls. */
-  readonly onMessage?: (from: string, message: PeerMessage) => void;
-  /** Told when a connection opened. */
-  readonly onUp?: (address: string) => void;
 }
 
 /** Outcome of a call. */
@@ -33,7 +29,6 @@
   readonly address: string;
   readonly link: FrameLink<PeerMessage>;
   readonly pending: Map<number, (reply: Reply | 'lost') => void>;
-  view: GroupView | null;
 }
 
 /** Time in ms that connections take to come back after a reset. */
@@ -76,11 +71,6 @@
     return performance.now() - cutOffAt >= ISOLATION_GRACE_MS;
   }
 
-  /** Addresses of all members that were heard of. */
-  get members(): readonly string[] {
-    return [...this.peers.keys()];
-  }
-
   /** Takes what this instance itself knows. */
   setView(view: GroupView): void {
     this.merge(view);
@@ -183,7 +173,7 @@
           err,
         }),
     });
-    this.peers.set(address, {address, link, pending: new Map(), view: null});
+    this.peers.set(address, {address, link, pending: new Map()});
   }
 
   private up(address: string): void {
@@ -191,7 +181,6 @@
     if (!peer) return;
     this.options.logger.info('member-connected', {peer: address});
     peer.link.send(this.options.self);
-    this.options.onUp?.(address);
     this.notify();
   }
 
@@ -211,8 +200,6 @@
       this.peers.get(address)?.pending.get(message.id)?.(message.reply);
     } else if (message.type === 'view') {
       this.merge(message.view);
-    } else {
-      this.options.onMessage?.(address, message);
     }
   }
 
--- a/packages/dispatch/src/owner/task_board.ts
+++ b/packages/dispatch/src/owner/task_board.ts
@@ -23,10 +23,6 @@
   private readonly tasks = new Map<string, BoardTask>();
   private readonly queues = new Map<string, ReadyQueue>();
 
-  get openJobs(): Iterable<BoardJob> {
-    return this.jobs.values();
-  }
-
   get openCount(): number {
     return this.jobs.size;
   }
--- a/packages/links/src/frame_link.ts
+++ b/packages/links/src/frame_link.ts
@@ -43,11 +43,6 @@
     return true;
   }
 
-  /** Replaces a connection whose replies are overdue. */
-  replace(): void {
-    this.channel?.close();
-  }
-
   close(): void {
     this.closed = true;
     if (this.timer) clearTimeout(this.timer);
