Start new jobs under a new owner before all upstreams have answered

Change: calls tell whether an earlier attempt may have had an effect; new jobs start on the upstreams that have answered.

--- a/packages/dispatch/src/instance/leader_client.ts
+++ b/packages/dispatch/src/instance/leader_client.ts
@@ -2,7 +2,7 @@
 import {FrameLink} from '@mustardferry/links';
 import type {Logger} from '@mustardferry/runtime';
 
-import type {Call, GroupView, Reply} from '../messages/calls.js';
+import type {Call, CallOrigin, GroupView, Reply} from '../messages/calls.js';
 import type {Hello, PeerMessage} from '../messages/peer_messages.js';
 
 /** Options of a client. */
@@ -12,7 +12,7 @@
   readonly seeds: readonly string[];
   readonly logger: Logger;
   /** Answers calls on an instance that leads; resolves null elsewhere. */
-  readonly local?: (call: Call, ageMs: number) => Promise<Reply> | null;
+  readonly local?: (call: Call, origin: CallOrigin) => Promise<Reply> | null;
 }
 
 /** Outcome of a call. */
@@ -98,7 +98,9 @@
       const left = deadline - performance.now();
       const hopeless = this.options.local === undefined && this.isIsolated;
       if (left <= 0 || hopeless) return {type: 'unanswered', mayHaveRun};
-      const reply = await this.attempt(call, takenAt, left);
+      const ageMs = performance.now() - takenAt;
+      const origin = {ageMs, repeated: mayHaveRun};
+      const reply = await this.attempt(call, origin, left);
       if (typeof reply === 'object' && isFinal(reply)) {
         // A later leader doesn't know what an earlier one began.
         const isUntrue = reply.type === 'refused' && mayHaveRun;
@@ -122,20 +124,19 @@
 
   private async attempt(
     call: Call,
-    takenAt: number,
+    origin: CallOrigin,
     timeoutMs: number,
   ): Promise<Reply | 'lost' | 'timeout' | 'no-leader'> {
-    const ageMs = performance.now() - takenAt;
-    const local = this.options.local?.(call, ageMs);
+    const local = this.options.local?.(call, origin);
     if (local) return Promise.race([local, expiry(timeoutMs)]);
     const {leader} = this;
     if (!leader) return 'no-leader';
-    return this.exchange(leader, {call, ageMs}, timeoutMs);
+    return this.exchange(leader, {call, origin}, timeoutMs);
   }
 
   private exchange(
     peer: Peer,
-    content: {readonly call: Call; readonly ageMs: number},
+    content: {readonly call: Call; readonly origin: CallOrigin},
     timeoutMs: number,
   ): Promise<Reply | 'lost' | 'timeout'> {
     const id = this.nextId++;
--- a/packages/dispatch/src/instance/member.ts
+++ b/packages/dispatch/src/instance/member.ts
@@ -11,7 +11,7 @@
 
 import type {Command, CommandResult} from '../jobs/commands.js';
 import {DispatchState} from '../jobs/dispatch_state.js';
-import type {Call, GroupView, Reply} from '../messages/calls.js';
+import type {Call, CallOrigin, GroupView, Reply} from '../messages/calls.js';
 import type {PeerMessage} from '../messages/peer_messages.js';
 import {Owner} from '../owner/owner.js';
 import {sleep} from '../owner/waiting.js';
@@ -21,6 +21,7 @@
 import {LinkTransport} from './link_transport.js';
 import type {MemberOptions} from './member_options.js';
 import {PauseDetector} from './pause_detector.js';
+import {WaitingCallers} from './waiting_callers.js';
 
 /** Interval of heartbeats in ms. */
 const HEARTBEAT_MS = 60;
@@ -60,6 +61,9 @@
   private server!: FrameServer<PeerMessage>;
   private log: Log | null = null;
   private owner: Owner | null = null;
+  private readonly callers = new WaitingCallers(job =>
+    this.owner?.abandon(job),
+  );
   private firstVoters: readonly string[] = [];
   private told = '';
 
@@ -81,7 +85,7 @@
         },
         seeds,
         logger,
-        local: (call, ageMs) => this.local(call, ageMs),
+        local: (call, origin) => this.local(call, origin),
       }),
     );
   }
@@ -141,7 +145,7 @@
         port: Number(port),
         onOpen: channel => this.greet(channel),
         onMessage: (channel, message) => void this.receive(channel, message),
-        onClose: () => undefined,
+        onClose: channel => this.callers.lost(channel),
         onMalformed: err =>
           logger.warn('member-message-malformed', {peer: 'incoming', err}),
       }),
@@ -214,8 +218,8 @@
     this.tellView();
   }
 
-  private local(call: Call, ageMs: number): Promise<Reply> | null {
-    return this.owner?.handle(call, ageMs) ?? null;
+  private local(call: Call, origin: CallOrigin): Promise<Reply> | null {
+    return this.owner?.handle(call, origin) ?? null;
   }
 
   private greet(channel: FrameChannel<PeerMessage>): void {
@@ -235,10 +239,12 @@
         this.log?.receive(message.from, message.message as LogMessage<Command>);
         return;
       case 'call': {
-        const {id, call, ageMs} = message;
-        const reply = (await this.local(call, ageMs)) ?? {
+        const {id, call, origin} = message;
+        if (call.type === 'submit') this.callers.add(call.job.id, channel);
+        const reply = (await this.local(call, origin)) ?? {
           type: 'not-leader' as const,
         };
+        if (call.type === 'submit') this.callers.remove(call.job.id, channel);
         channel.send({type: 'reply', id, reply});
         return;
       }
--- a/packages/dispatch/src/messages/calls.ts
+++ b/packages/dispatch/src/messages/calls.ts
@@ -26,6 +26,14 @@
   | {readonly type: 'configure'; readonly configuration: Configuration}
   | {readonly type: 'read-configuration'};
 
+/** What is known of the earlier fate of a call. */
+export interface CallOrigin {
+  /** Time in ms since the caller's instance took the call. */
+  readonly ageMs: number;
+  /** Whether an earlier attempt of that instance may have had an effect. */
+  readonly repeated: boolean;
+}
+
 /** Why a submission was refused; it has not run and never will. */
 export type SubmitRefusal = 'no-configuration' | 'overloaded' | 'not-in-time';
 
--- a/packages/dispatch/src/messages/peer_messages.ts
+++ b/packages/dispatch/src/messages/peer_messages.ts
@@ -1,7 +1,7 @@
 /** Messages on the connections between instances. */
 import type {LogMessage, MemberId} from '@mustardferry/coordination';
 
-import type {Call, GroupView, Reply} from './calls.js';
+import type {Call, CallOrigin, GroupView, Reply} from './calls.js';
 
 /** First message on a connection, from the side that opened it. */
 export interface Hello {
@@ -19,8 +19,7 @@
       readonly type: 'call';
       readonly id: number;
       readonly call: Call;
-      /** Time in ms since the caller's instance took the call. */
-      readonly ageMs: number;
+      readonly origin: CallOrigin;
     }
   | {readonly type: 'reply'; readonly id: number; readonly reply: Reply}
   | {readonly type: 'view'; readonly view: GroupView}
--- a/packages/dispatch/src/owner/board_types.ts
+++ b/packages/dispatch/src/owner/board_types.ts
@@ -57,12 +57,18 @@
   avoid: string[];
 }
 
+/** How a job came to this owner. */
+export interface Arrival {
+  /** When the caller's instance took the job, by the process's clock. */
+  readonly since: number;
+  /** Whether no earlier owner can have started it. */
+  readonly isNew: boolean;
+}
+
 /** An open job. */
-export interface BoardJob {
+export interface BoardJob extends Arrival {
   readonly admitted: AdmittedJob;
   readonly queue: QueueConfig;
-  /** Time of admission by the process's clock. */
-  readonly since: number;
   /** Response time objective in milliseconds, from the declared times. */
   readonly objectiveMs: number;
   readonly tasks: readonly (readonly BoardTask[])[];
--- a/packages/dispatch/src/owner/call_handler.ts
+++ b/packages/dispatch/src/owner/call_handler.ts
@@ -17,7 +17,9 @@
   type JobState,
   queueKey,
 } from '../jobs/job_types.js';
-import type {Call, Reply} from '../messages/calls.js';
+import type {Call, CallOrigin, Reply} from '../messages/calls.js';
+import type {Arrival} from './board_types.js';
+import {admittedJob, arrivalOf, lastSegment} from './call_parts.js';
 import type {Dispatcher, Propose} from './dispatcher.js';
 import type {Registrar} from './registrar.js';
 import type {TaskBoard} from './task_board.js';
@@ -51,15 +53,20 @@
     this.transients = new TransientJobs(options);
   }
 
+  /** Drops a job whose caller has gone. */
+  abandon(job: string): void {
+    this.transients.abandon(job, 'caller gone');
+  }
+
   /** Answers the callers that wait for the end of their jobs. */
   close(): void {
     this.transients.close();
   }
 
   /** Answers a call; failures of the log become replies. */
-  async handle(call: Call, ageMs: number): Promise<Reply> {
+  async handle(call: Call, origin: CallOrigin): Promise<Reply> {
     try {
-      return await this.dispatch(call, ageMs);
+      return await this.dispatch(call, origin);
     } catch (err) {
       this.options.logger.warn('call-interrupted', {call: call.type, err});
       const hadNoEffect =
@@ -70,16 +77,16 @@
     }
   }
 
-  private dispatch(call: Call, ageMs: number): Promise<Reply> | Reply {
+  private dispatch(call: Call, origin: CallOrigin): Promise<Reply> | Reply {
     switch (call.type) {
       case 'submit':
-        return this.submit(call, performance.now() - ageMs);
+        return this.submit(call, arrivalOf(origin));
       case 'state':
         return this.state(call.host, call.path);
       case 'cancel':
         return this.cancel(call.path);
       case 'abandon':
-        this.transients.abandon(call.job, 'caller gone');
+        this.abandon(call.job);
         return {type: 'no-job'};
       case 'announce':
         return this.announce(call);
@@ -94,7 +101,7 @@
     }
   }
 
-  private submit(call: SubmitCall, since: number): Promise<Reply> | Reply {
+  private submit(call: SubmitCall, arrival: Arrival): Promise<Reply> | Reply {
     const {state, board, logger} = this.options;
     const {queues} = state;
     const {job} = call;
@@ -116,8 +123,8 @@
     }
     const answered = this.transients.known(job.id);
     if (answered) return answered;
-    if (!job.durable) return this.runTransient(call, queue, since);
-    const admission = this.admit(call, queue, since).finally(() =>
+    if (!job.durable) return this.runTransient(call, queue, arrival);
+    const admission = this.admit(call, queue, arrival).finally(() =>
       this.submitting.delete(job.id),
     );
     this.submitting.set(job.id, admission);
@@ -141,13 +148,13 @@
   private async admit(
     {job}: SubmitCall,
     queue: QueueConfig,
-    since: number,
+    arrival: Arrival,
   ): Promise<Reply> {
     const {propose, dispatcher, term, metrics} = this.options;
     const admitted = admittedJob(job, queue, term);
     const now = performance.now();
     const early = !dispatcher.earlyEndJobs.has(job.id);
-    if (early) dispatcher.place(admitted, queue, since);
+    if (early) dispatcher.place(admitted, queue, arrival);
     try {
       await propose({type: 'submit', job: admitted});
     } catch {
@@ -164,13 +171,13 @@
   private runTransient(
     {job, patienceMs}: SubmitCall,
     queue: QueueConfig,
-    since: number,
+    arrival: Arrival,
   ): Promise<Reply> {
     const admitted = admittedJob(job, queue, this.options.term);
     this.options.metrics.increment('jobs.accepted');
     this.reportAccepted(admitted, queue, 0);
-    const restMs = patienceMs - (performance.now() - since);
-    return this.transients.submit(admitted, queue, {since, restMs});
+    const restMs = patienceMs - (performance.now() - arrival.since);
+    return this.transients.submit(admitted, queue, arrival, restMs);
   }
 
   private reportAccepted(
@@ -197,7 +204,7 @@
     const record = state.jobs.get(id);
     if (record?.outcome !== 'open' || board.job(id)) return;
     board.recover(record, queue, now, term);
-    if (dispatcher.isEnabled) board.settle();
+    if (dispatcher.isSettled) board.settle();
     dispatcher.schedule();
   }
 
@@ -277,22 +284,3 @@
     return {type: 'configuration', source: queues.configuration.source};
   }
 }
-
-function admittedJob(
-  job: JobRequest,
-  queue: QueueConfig,
-  term: number,
-): AdmittedJob {
-  return {
-    ...job,
-    queue: queueKey(queue),
-    pool: queue.pool,
-    maxAttempts: queue.maxAttempts,
-    admittedAt: Date.now(),
-    term,
-  };
-}
-
-function lastSegment(path: string): string {
-  return path.slice(path.lastIndexOf('/') + 1);
-}
--- a/packages/dispatch/src/owner/dispatcher.ts
+++ b/packages/dispatch/src/owner/dispatcher.ts
@@ -11,7 +11,7 @@
   RunEnd,
   StartRefusal,
 } from '../upstreams/upstream_port.js';
-import type {BoardTask, Run} from './board_types.js';
+import type {Arrival, BoardTask, Run} from './board_types.js';
 import {FoundRuns} from './found_runs.js';
 import {LingeringRuns} from './lingering_runs.js';
 import {LostRuns} from './lost_runs.js';
@@ -84,7 +84,7 @@
     this.found = new FoundRuns({
       ...options,
       lingering,
-      isSettled: () => this.isEnabled,
+      isSettled: () => this.isSettled,
     });
     const placement = new PlacementPolicy(speed, health);
     this.starter = new RunStarter({
@@ -118,17 +118,17 @@
 
   /** Ends all sessions without orders; their runs are the next owner's. */
   close(): void {
-    this.starter.disable();
+    this.starter.close();
     for (const session of this.starter.sessions) session.close();
   }
 
-  /** Allows starts, once nothing of an earlier owner can be running unseen. */
-  enable(): void {
-    this.starter.enable();
+  /** Allows all starts: nothing of an earlier owner can be running unseen. */
+  settle(): void {
+    this.starter.settle();
   }
 
-  get isEnabled(): boolean {
-    return this.starter.isEnabled;
+  get isSettled(): boolean {
+    return this.starter.isSettled;
   }
 
   /** Starts what fits, after the current turn. */
@@ -162,10 +162,10 @@
     }
   }
 
-  /** Adds a job that was taken at a time, and starts what it can. */
-  place(job: AdmittedJob, queue: QueueConfig, since: number): void {
+  /** Adds a job and starts what it can. */
+  place(job: AdmittedJob, queue: QueueConfig, arrival: Arrival): void {
     const {board, state} = this.options;
-    const created = board.admit(job, queue, since, task =>
+    const created = board.admit(job, queue, arrival, task =>
       this.lingering.get(task),
     );
     for (const {task, outcome} of state.endsBefore(job.id)) {
--- a/packages/dispatch/src/owner/owner.ts
+++ b/packages/dispatch/src/owner/owner.ts
@@ -9,7 +9,7 @@
 import type {QueueConfig} from '../jobs/configuration.js';
 import type {DispatchState} from '../jobs/dispatch_state.js';
 import type {AdmittedJob} from '../jobs/job_types.js';
-import type {Call, Reply} from '../messages/calls.js';
+import type {Call, CallOrigin, Reply} from '../messages/calls.js';
 import type {UpstreamPort} from '../upstreams/upstream_port.js';
 import {CallHandler} from './call_handler.js';
 import {Dispatcher} from './dispatcher.js';
@@ -55,6 +55,8 @@
 /** Sweeps between two removals of ended jobs from the replicated state. */
 const SWEEPS_PER_EXPIRY = 10;
 
+const NEW_CALL: CallOrigin = {ageMs: 0, repeated: false};
+
 /** Work of one term of leadership. */
 export class Owner {
   readonly name = 'owner';
@@ -101,15 +103,15 @@
     this.begin();
   }
 
-  /**
-   * Answers a call.
-   *
-   * @param ageMs Time since the caller's instance took the call; more than the
-   *     way where an earlier leader was lost.
-   */
-  async handle(call: Call, ageMs = 0): Promise<Reply> {
+  /** Answers a call. */
+  async handle(call: Call, origin: CallOrigin = NEW_CALL): Promise<Reply> {
     if (!this.mayOrder()) return {type: 'not-leader'};
-    return this.calls.handle(call, ageMs);
+    return this.calls.handle(call, origin);
+  }
+
+  /** Drops a job whose caller's instance is lost. */
+  abandon(job: string): void {
+    this.calls.abandon(job);
   }
 
   close(): void {
@@ -160,18 +162,18 @@
   }
 
   /**
-   * Starts are safe from now on: every upstream either told its runs under
+   * All starts are safe from now on: every upstream either told its runs under
    * this owner's token, or its leases from earlier owners are over.
    */
   private settle(cause: string): void {
-    if (this.closed || this.dispatcher.isEnabled) return;
+    if (this.closed || this.dispatcher.isSettled) return;
     this.options.logger.info('owner-settled', {
       cause,
       unanswered: this.unfenced.size,
       orphans: this.dispatcher.orphanCount,
     });
     this.board.settle();
-    this.dispatcher.enable();
+    this.dispatcher.settle();
   }
 
   private sweep(): void {
--- a/packages/dispatch/src/owner/ready_queue.ts
+++ b/packages/dispatch/src/owner/ready_queue.ts
@@ -36,6 +36,8 @@
   readonly now: number;
   /** Time factor of the fastest upstream of the pool. */
   readonly fastestFactor: number;
+  /** Whether a task may start now; others keep their place. */
+  readonly isOffered: (task: BoardTask) => boolean;
   readonly offer: (task: BoardTask, band: Band) => OfferResult;
 }
 
@@ -76,14 +78,19 @@
 
   private offerList(band: Band, list: BoardTask[], pass: OfferPass): boolean {
     const passed: BoardTask[] = [];
+    let passedOver = 0;
     let taken = 0;
     let goesOn = true;
-    while (goesOn && taken < list.length && passed.length < MAX_PASSED_OVER) {
+    while (goesOn && taken < list.length && passedOver < MAX_PASSED_OVER) {
       const task = list[taken++];
       if (!task || task.phase !== 'ready') {
         this.count--;
         continue;
       }
+      if (!pass.isOffered(task)) {
+        passed.push(task);
+        continue;
+      }
       const due = bandOf(task, pass);
       if (BANDS.indexOf(due) > BANDS.indexOf(band)) {
         this.count--;
@@ -91,8 +98,12 @@
         continue;
       }
       const result = pass.offer(task, band);
-      if (result === 'placed' || result === 'dropped') this.count--;
-      else passed.push(task);
+      if (result === 'placed' || result === 'dropped') {
+        this.count--;
+      } else {
+        passedOver++;
+        passed.push(task);
+      }
       goesOn = result !== 'full';
     }
     list.splice(0, taken, ...passed);
--- a/packages/dispatch/src/owner/run_starter.ts
+++ b/packages/dispatch/src/owner/run_starter.ts
@@ -43,12 +43,13 @@
 export class RunStarter {
   private readonly pools = new Map<string, UpstreamSession[]>();
   private scheduled = false;
-  private enabled = false;
+  private settled = false;
+  private closed = false;
 
   constructor(private readonly options: RunStarterOptions) {}
 
-  get isEnabled(): boolean {
-    return this.enabled;
+  get isSettled(): boolean {
+    return this.settled;
   }
 
   get sessions(): readonly UpstreamSession[] {
@@ -60,13 +61,14 @@
     return (this.pools.get(pool) ?? []).filter(session => session.accepts);
   }
 
-  enable(): void {
-    this.enabled = true;
+  /** Allows the start of jobs that an earlier owner may have started. */
+  settle(): void {
+    this.settled = true;
     this.schedule();
   }
 
-  disable(): void {
-    this.enabled = false;
+  close(): void {
+    this.closed = true;
   }
 
   add(session: UpstreamSession): void {
@@ -82,11 +84,11 @@
 
   /** Starts what fits, after the current turn. */
   schedule(): void {
-    if (this.scheduled || !this.enabled) return;
+    if (this.scheduled || this.closed) return;
     this.scheduled = true;
     queueMicrotask(() => {
       this.scheduled = false;
-      if (this.enabled && this.options.mayOrder()) this.startReady();
+      if (!this.closed && this.options.mayOrder()) this.startReady();
     });
   }
 
@@ -100,6 +102,7 @@
       queue.offerAll({
         now,
         fastestFactor,
+        isOffered: task => this.settled || task.job.isNew,
         offer: (task, band) =>
           this.offer(task, band, {sessions, now, fastestFactor}),
       });
--- a/packages/dispatch/src/owner/task_board.ts
+++ b/packages/dispatch/src/owner/task_board.ts
@@ -8,7 +8,7 @@
   type Step,
   taskKey,
 } from '../jobs/job_types.js';
-import type {BoardJob, BoardTask, Run} from './board_types.js';
+import type {Arrival, BoardJob, BoardTask, Run} from './board_types.js';
 import {ReadyQueue} from './ready_queue.js';
 
 /**
@@ -43,16 +43,15 @@
   /**
    * Adds a job that this leader admits.
    *
-   * @param since When the caller's instance took the job.
    * @param lingering The run of an earlier submission that a task waits for.
    */
   admit(
     admitted: AdmittedJob,
     queue: QueueConfig,
-    since: number,
+    arrival: Arrival,
     lingering: (task: string) => Run | undefined,
   ): BoardJob {
-    const job = this.create(admitted, queue, since, null);
+    const job = this.create(admitted, queue, arrival, null);
     for (const task of job.tasks.flat()) {
       const earlier = lingering(task.key);
       if (!earlier) continue;
@@ -71,7 +70,8 @@
     term: number,
   ): void {
     const since = now - Math.max(0, Date.now() - record.job.admittedAt);
-    const job = this.create(record.job, queue, since, record.progress);
+    const arrival = {since, isNew: false};
+    const job = this.create(record.job, queue, arrival, record.progress);
     const lastRun = (term - record.job.term) * RUNS_PER_TERM;
     for (const task of job.tasks.flat()) {
       task.lastRun = lastRun;
@@ -134,14 +134,14 @@
   private create(
     admitted: AdmittedJob,
     queue: QueueConfig,
-    since: number,
+    arrival: Arrival,
     progress: JobProgress | null,
   ): BoardJob {
     const tasks: BoardTask[][] = [];
     const job: BoardJob = {
       admitted,
       queue,
-      since,
+      ...arrival,
       objectiveMs: queue.stretch * chainMs(admitted.steps) + queue.targetMs,
       tasks,
       remaining: [],
--- a/packages/dispatch/src/owner/transient_jobs.ts
+++ b/packages/dispatch/src/owner/transient_jobs.ts
@@ -4,6 +4,7 @@
 import type {QueueConfig} from '../jobs/configuration.js';
 import type {AdmittedJob} from '../jobs/job_types.js';
 import type {Reply} from '../messages/calls.js';
+import type {Arrival} from './board_types.js';
 import type {Dispatcher} from './dispatcher.js';
 import type {TaskBoard} from './task_board.js';
 
@@ -15,14 +16,6 @@
   readonly metrics: Metrics;
 }
 
-/** Times of a call in milliseconds. */
-export interface CallTimes {
-  /** When the caller's instance took the call. */
-  readonly since: number;
-  /** Rest of the caller's patience. */
-  readonly restMs: number;
-}
-
 interface Waiting {
   readonly reply: Promise<Reply>;
   readonly settle: (reply: Reply) => void;
@@ -47,17 +40,18 @@
     return this.waiting.get(id)?.reply ?? this.answers.get(id);
   }
 
-  /** Runs a job; resolves with its end. */
+  /** Runs a job; resolves with its end, at the latest after `restMs`. */
   submit(
     job: AdmittedJob,
     queue: QueueConfig,
-    {since, restMs}: CallTimes,
+    arrival: Arrival,
+    restMs: number,
   ): Promise<Reply> {
     let settle: (reply: Reply) => void = () => undefined;
     const reply = new Promise<Reply>(resolve => (settle = resolve));
     const timer = setTimeout(() => this.expire(job.id), restMs);
     this.waiting.set(job.id, {reply, settle, timer});
-    this.options.dispatcher.place(job, queue, since);
+    this.options.dispatcher.place(job, queue, arrival);
     return reply;
   }
 
--- a/packages/dispatch/tests/owner/owner.test.ts
+++ b/packages/dispatch/tests/owner/owner.test.ts
@@ -156,6 +156,30 @@
     expect(harness.spans).to.have.length(2);
   });
 
+  it('starts new jobs while an upstream has not answered a new owner yet', async () => {
+    await begin(3);
+    harness.kill();
+    harness.upstream(0).fate = () => 'lost';
+    await harness.lead();
+    const leadsAt = performance.now();
+    const reply = await harness.settled(harness.submit('a', [step(2)]));
+    expect(reply).to.deep.equal({type: 'ended', state: 'completed'});
+    expect(performance.now() - leadsAt).to.be.below(200);
+  });
+
+  it('waits with repeated jobs until their runs must have ended', async () => {
+    await begin(2);
+    for (const each of harness.upstreams) each.runMs = 600;
+    const steps = [step(4, {declaredMs: 600})];
+    void harness.submit('a', steps);
+    await harness.advance(50);
+    harness.kill();
+    harness.upstream(0).fate = () => 'lost';
+    await harness.lead();
+    const reply = await harness.settled(harness.submit('a', steps));
+    expect(reply.type).to.be.oneOf(['ended', 'given-up']);
+  });
+
   it('waits for the end of a stray run that is being stopped', async () => {
     await begin(2);
     for (const each of harness.upstreams) each.runMs = 60_000;
--- a/packages/dispatch/tests/owner/ready_queue.test.ts
+++ b/packages/dispatch/tests/owner/ready_queue.test.ts
@@ -32,7 +32,7 @@
     },
     // The objective is 2 * 100 + 60 ms.
     {...QUEUE, priority},
-    since,
+    {since, isNew: true},
     () => undefined,
   );
   job.started = started;
@@ -48,6 +48,7 @@
   queue.offerAll({
     now,
     fastestFactor: 1,
+    isOffered: () => true,
     offer: (task: BoardTask, band: Band) => {
       seen.push(`${task.id.job} ${band}`);
       return result(task);
--- a/packages/dispatch/tests/owner_harness.ts
+++ b/packages/dispatch/tests/owner_harness.ts
@@ -56,6 +56,7 @@
   private readonly storage = new MemoryLogStorage<Command>({syncMs: 9});
   private readonly port: FakePort;
   private log: ReplicatedLog<Command, CommandResult> | null = null;
+  private readonly submitted = new Set<string>();
   private readonly sequences = new Map<string, number>();
 
   constructor(count: number) {
@@ -138,8 +139,8 @@
     return this.submitWith(id, steps, true);
   }
 
-  call(call: Parameters<Owner['handle']>[0]): Promise<Reply> {
-    return must(this.owner, 'no owner').handle(call);
+  call(call: Parameters<Owner['handle']>[0], repeated = false): Promise<Reply> {
+    return must(this.owner, 'no owner').handle(call, {ageMs: 0, repeated});
   }
 
   /** State of a stored job. */
@@ -176,13 +177,18 @@
     steps: readonly Step[],
     durable: boolean,
   ): Promise<Reply> {
-    return this.call({
-      type: 'submit',
-      host: 'host',
-      path: `/q/${id}`,
-      patienceMs: 1_500,
-      job: {id, payload: 'text', steps, durable},
-    });
+    const repeated = this.submitted.has(id);
+    this.submitted.add(id);
+    return this.call(
+      {
+        type: 'submit',
+        host: 'host',
+        path: `/q/${id}`,
+        patienceMs: 1_500,
+        job: {id, payload: 'text', steps, durable},
+      },
+      repeated,
+    );
   }
 
   private createOwner(
