--- a/packages/dispatch/src/owner/call_handler.ts
+++ b/packages/dispatch/src/owner/call_handler.ts
@@ -11,12 +11,7 @@
 import type {Command, CommandResult, JobRecord} from '../jobs/commands.js';
 import type {Configuration, QueueConfig} from '../jobs/configuration.js';
 import type {DispatchState} from '../jobs/dispatch_state.js';
-import {
-  type AdmittedJob,
-  type JobRequest,
-  type JobState,
-  queueKey,
-} from '../jobs/job_types.js';
+import {type AdmittedJob, type JobState, queueKey} from '../jobs/job_types.js';
 import type {Call, CallOrigin, Reply} from '../messages/calls.js';
 import type {Arrival} from './board_types.js';
 import {admittedJob, arrivalOf, lastSegment} from './call_parts.js';
