--- a/packages/verification/src/checks.ts
+++ b/packages/verification/src/checks.ts
@@ -4,6 +4,7 @@
 import {type Exploration, type ExplorationBounds, explore} from './explorer.js';
 import type {Fault} from './faults.js';
 import {formationScenario, NAMES, registration} from './formation_scenario.js';
+import {ownershipScenario} from './ownership_scenario.js';
 import {takeoverScenario} from './takeover_scenario.js';
 
 /** One exploration of one scenario. */
@@ -139,6 +140,23 @@
       return explore(model, {...this.bounds, ...part}, part.prefix);
     },
   },
+  {
+    name: 'ownership of upstreams with leases',
+    finds: [
+      'start-before-settled',
+      'no-token-check',
+      'requeue-before-lease-end',
+      'requeue-unanswered-start',
+      'lose-runs-of-old-life',
+      'acknowledge-before-commit',
+    ],
+    bounds: {maxDepth: 10, maxStates: MAX_STATES},
+    run(fault, part = {}) {
+      const limits = {maxTicks: 3, maxRuns: 2, maxRebirths: 1};
+      const model = ownershipScenario({...limits, fault});
+      return explore(model, {...this.bounds, ...part}, part.prefix);
+    },
+  },
   {
     name: 'configuration with restarts',
     finds: ['serve-before-recovery'],
--- a/packages/verification/src/faults.ts
+++ b/packages/verification/src/faults.ts
@@ -11,6 +11,12 @@
   'repaired-at-commit',
   'join-before-registration',
   'join-after-abandonment',
+  'start-before-settled',
+  'no-token-check',
+  'requeue-before-lease-end',
+  'requeue-unanswered-start',
+  'lose-runs-of-old-life',
+  'acknowledge-before-commit',
 ] as const;
 
 /** A seeded fault. */
