--- a/packages/dispatch/src/upstreams/upstream_types.ts
+++ b/packages/dispatch/src/upstreams/upstream_types.ts
@@ -32,7 +32,7 @@
   return `${id}@${startedAt}`;
 }
 
-/** Whether two records differ in anything that dispatch depends on. */
+/** Whether two records agree in everything that dispatch depends on. */
 export function sameRecord(a: UpstreamRecord, b: UpstreamRecord): boolean {
   return (
     a.startedAt === b.startedAt &&
