Let a replicated log grow to a target number of voters

Change: a replacement may remove nobody. A registered learner that holds all committed entries is added while there are fewer voters than targetVoters, one at a time, closed like a replacement.

--- a/packages/coordination/src/replicated_log/core_state.ts
+++ b/packages/coordination/src/replicated_log/core_state.ts
@@ -1,5 +1,5 @@
 /** State, events and effects of the log's pure core, and its small queries. */
-import type {LogEntry, LogSnapshot} from './log_entries.js';
+import type {LogEntry, LogSnapshot, VoterReplacement} from './log_entries.js';
 import {type MemberId, memberKey, sameMember} from './members.js';
 
 /** Options of the core. */
@@ -17,6 +17,8 @@
    * take its place; never by default.
    */
   readonly replaceSilentAfterMs?: number;
+  /** Voters up to which registered members are added; none by default. */
+  readonly targetVoters?: number;
 }
 
 /** What the leader knows about one other member. */
@@ -212,15 +214,16 @@
   for (const {index, replacement, closes} of state.entries) {
     if (replacement) {
       const {voters, removed} = config;
-      const {remove, add} = replacement;
+      const {remove} = replacement;
       const committed = index <= commitIndex;
       config = {
-        voters: voters.map(voter => (sameMember(voter, remove) ? add : voter)),
+        voters: changedVoters(voters, replacement),
         previous: committed ? null : voters,
         beforeRepair: voters,
         changeIndex: index,
         closeIndex: 0,
-        removed: committed ? [...removed, memberKey(remove)] : removed,
+        removed:
+          committed && remove ? [...removed, memberKey(remove)] : removed,
       };
     } else if (closes !== undefined) {
       const beforeRepair = index <= commitIndex ? null : config.beforeRepair;
@@ -230,6 +233,14 @@
   return config;
 }
 
+function changedVoters(
+  voters: readonly MemberId[],
+  {remove, add}: VoterReplacement,
+): readonly MemberId[] {
+  if (!remove) return [...voters, add];
+  return voters.map(voter => (sameMember(voter, remove) ? add : voter));
+}
+
 /** Whether an entry changes what `configOf` derives. */
 export function changesConfig<C>({replacement, closes}: LogEntry<C>): boolean {
   return replacement !== undefined || closes !== undefined;
--- a/packages/coordination/src/replicated_log/elections.ts
+++ b/packages/coordination/src/replicated_log/elections.ts
@@ -144,12 +144,17 @@
   return countVotes(ctx, {...state, votes: [...state.votes, key]});
 }
 
+/** The leader may be a voter that this member's log doesn't tell of yet. */
 function askToJoin<C>(
   ctx: StepContext<C>,
   state: LogCoreState<C>,
 ): LogCoreState<C> {
-  for (const member of otherVoters(state)) {
-    if (member.name === state.self.name) continue;
+  const known = new Map(otherVoters(state).map(voter => [voter.name, voter]));
+  for (const [name, incarnation] of Object.entries(state.registered)) {
+    known.set(name, {name, incarnation});
+  }
+  known.delete(state.self.name);
+  for (const member of known.values()) {
     send(ctx, member, {type: 'join', term: state.term});
   }
   return {
--- a/packages/coordination/src/replicated_log/log_entries.ts
+++ b/packages/coordination/src/replicated_log/log_entries.ts
@@ -1,9 +1,10 @@
 /** Entries and snapshots of a replicated log. */
 import type {MemberId} from './members.js';
 
-/** Replacement of one incarnation of a voter by another of the same name. */
+/** Replacement of a voter by another member, or growth by one voter. */
 export interface VoterReplacement {
-  readonly remove: MemberId;
+  /** Null where the group grows. */
+  readonly remove: MemberId | null;
   readonly add: MemberId;
 }
 
--- a/packages/coordination/src/replicated_log/log_options.ts
+++ b/packages/coordination/src/replicated_log/log_options.ts
@@ -36,6 +36,11 @@
    * take its place; never by default.
    */
   readonly replaceSilentAfterMs?: number;
+  /**
+   * Voters up to which registered members of other names are added; by default
+   * the voters at the start stay as many.
+   */
+  readonly targetVoters?: number;
   /** Name of the member that should lead when it can; none by default. */
   readonly preferredLeader?: string;
   /** Random numbers in [0, 1); `Math.random` by default. */
@@ -65,6 +70,9 @@
     ...(options.replaceSilentAfterMs === undefined
       ? {}
       : {replaceSilentAfterMs: options.replaceSilentAfterMs}),
+    ...(options.targetVoters === undefined
+      ? {}
+      : {targetVoters: options.targetVoters}),
   };
 }
 
--- a/packages/coordination/src/replicated_log/replication.ts
+++ b/packages/coordination/src/replicated_log/replication.ts
@@ -11,7 +11,7 @@
   termAt,
 } from './core_state.js';
 import {completeReads} from './leases.js';
-import type {LogEntry} from './log_entries.js';
+import type {LogEntry, VoterReplacement} from './log_entries.js';
 import type {AppendReply} from './log_messages.js';
 import {
   ABSENT_INCARNATION,
@@ -249,8 +249,22 @@
   return state;
 }
 
+/** Whether a registered member without a vote may get one. */
+export function hasPlaceFor<C>(
+  ctx: StepContext<C>,
+  state: LogCoreState<C>,
+  {name, incarnation}: MemberId,
+): boolean {
+  if (state.registered[name] !== incarnation) return false;
+  const {targetVoters = 0} = ctx.cfg;
+  return (
+    state.config.voters.length < targetVoters ||
+    replaceableVoter(ctx, state) !== undefined
+  );
+}
+
 /** A voter that has been silent for so long that another may replace it. */
-export function replaceableVoter<C>(
+function replaceableVoter<C>(
   ctx: StepContext<C>,
   state: LogCoreState<C>,
 ): MemberId | undefined {
@@ -264,9 +278,10 @@
 }
 
 /**
- * Starts the replacement of a voter by a learner that holds all committed
- * entries and is registered: of its own old incarnation, or of a voter that is
- * silent. One at a time: the previous replacement must be complete.
+ * Gives a vote to a learner that holds all committed entries and is
+ * registered: in the place of its own old incarnation or of a voter that is
+ * silent, or beside the others while the group is to grow. One at a time: the
+ * previous change must be complete.
  */
 export function promoteLearner<C>(
   ctx: StepContext<C>,
@@ -276,20 +291,33 @@
     return state;
   }
   for (const {member, match, ackedAt} of Object.values(state.progress)) {
-    const remove =
-      state.config.voters.find(v => v.name === member.name) ??
-      replaceableVoter(ctx, state);
     const ready =
-      remove !== undefined &&
-      !sameMember(remove, member) &&
-      !sameMember(remove, state.self) &&
       state.registered[member.name] === member.incarnation &&
       match >= state.commitIndex &&
       ctx.now - ackedAt < ctx.cfg.electionTimeoutMs;
-    if (!ready) continue;
-    const replacement = {remove, add: member};
+    const replacement = ready ? replacementBy(ctx, state, member) : null;
+    if (!replacement) continue;
     const content = {commands: [], durable: false, replacement};
     return sendToAll(ctx, appendAsLeader(ctx, state, content), false);
   }
   return state;
 }
+
+/** How a member may get a vote; null if it has one or there is no place. */
+function replacementBy<C>(
+  ctx: StepContext<C>,
+  state: LogCoreState<C>,
+  add: MemberId,
+): VoterReplacement | null {
+  const {voters} = state.config;
+  const namesake = voters.find(voter => voter.name === add.name);
+  if (namesake) {
+    const isOther =
+      !sameMember(namesake, add) && !sameMember(namesake, state.self);
+    return isOther ? {remove: namesake, add} : null;
+  }
+  const {targetVoters = 0} = ctx.cfg;
+  if (voters.length < targetVoters) return {remove: null, add};
+  const remove = replaceableVoter(ctx, state);
+  return remove ? {remove, add} : null;
+}
--- a/packages/coordination/src/replicated_log/step.ts
+++ b/packages/coordination/src/replicated_log/step.ts
@@ -29,9 +29,9 @@
   advanceCommit,
   appendAsLeader,
   broadcast,
+  hasPlaceFor,
   promoteLearner,
   receiveAppendReply,
-  replaceableVoter,
   requestTakeover,
   sendToAll,
 } from './replication.js';
@@ -233,7 +233,7 @@
   const key = memberKey(from);
   if (state.role !== 'leader' || state.progress[key]) return state;
   const nameVotes = state.config.voters.some(v => v.name === from.name);
-  if (!nameVotes && !replaceableVoter(ctx, state)) return state;
+  if (!nameVotes && !hasPlaceFor(ctx, state, from)) return state;
   const learner = newProgress(from, lastIndex(state) + 1, ctx.now);
   return {...state, progress: {...state.progress, [key]: learner}};
 }
--- a/packages/coordination/src/storage_adapter/stored_log.ts
+++ b/packages/coordination/src/storage_adapter/stored_log.ts
@@ -16,7 +16,7 @@
   readonly commands: readonly C[];
   readonly durable: boolean;
   readonly replacement?: {
-    readonly remove: StoredMemberId;
+    readonly remove: StoredMemberId | null;
     readonly add: StoredMemberId;
   };
   readonly closes?: number;
--- a/packages/coordination/tests/replicated_log/schedules.test.ts
+++ b/packages/coordination/tests/replicated_log/schedules.test.ts
@@ -62,6 +62,14 @@
       )).timeout(120_000);
   }
 
+  it('sync-everything, growing from three voters: never loses, changes or reverts an acknowledged command', () =>
+    fc.assert(
+      fc.asyncProperty(schedules, schedule =>
+        runSchedule('sync-everything', {...schedule, size: 5}, 3),
+      ),
+      {seed: GENERATOR_SEED, numRuns: 60, endOnFailure: true},
+    )).timeout(120_000);
+
   it('in-memory, seed 2, path 104: the loss of the leader right after a repair does not stop the group', () =>
     fc.assert(
       fc.asyncProperty(schedules, schedule =>
@@ -78,14 +86,26 @@
   private readonly names: readonly string[];
   private proposed = 0;
 
-  constructor(mode: 'in-memory' | 'sync-everything', schedule: Schedule) {
+  constructor(
+    mode: 'in-memory' | 'sync-everything',
+    schedule: Schedule,
+    firstVoters: number,
+  ) {
     this.mode = mode;
     this.names = ['a', 'b', 'c', 'd', 'e'].slice(0, schedule.size);
     this.cluster = new TestCluster({
       mode,
       names: this.names,
       seed: schedule.seed,
-      log: {snapshotEveryEntries: 15, heartbeatMs: 50, electionTimeoutMs: 200},
+      log: {
+        snapshotEveryEntries: 15,
+        heartbeatMs: 50,
+        electionTimeoutMs: 200,
+        voters: this.names
+          .slice(0, firstVoters)
+          .map(name => ({name, incarnation: '1'})),
+        targetVoters: this.names.length,
+      },
     });
   }
 
@@ -175,8 +195,9 @@
 async function runSchedule(
   mode: 'in-memory' | 'sync-everything',
   schedule: Schedule,
+  firstVoters = schedule.size,
 ): Promise<void> {
-  const run = new ScheduleRun(mode, schedule);
+  const run = new ScheduleRun(mode, schedule, firstVoters);
   try {
     await run.cluster.startAll();
     await run.cluster.untilLeader();
--- a/packages/coordination/tests/replicated_log/voter_replacement.test.ts
+++ b/packages/coordination/tests/replicated_log/voter_replacement.test.ts
@@ -4,6 +4,67 @@
 
 const VOTERS = ['a', 'b', 'c'].map(name => ({name, incarnation: '1'}));
 
+describe('ReplicatedLog that grows', () => {
+  let cluster: TestCluster;
+
+  beforeEach(async () => {
+    cluster = new TestCluster({
+      mode: 'sync-everything',
+      names: ['a', 'b', 'c', 'd', 'e', 'f'],
+      log: {voters: VOTERS, targetVoters: 5},
+    });
+  });
+
+  afterEach(async () => {
+    expect(cluster.violations).to.deep.equal([]);
+    await cluster.close();
+  });
+
+  async function propose(command: string): Promise<void> {
+    const leader = await cluster.untilLeader();
+    const proposed = cluster.logOf(leader.name).propose(command);
+    await cluster.run(500);
+    await proposed;
+  }
+
+  async function voterNames(): Promise<string[]> {
+    const leader = await cluster.untilLeader();
+    const {voters} = cluster.logOf(leader.name).status();
+    return voters.map(({name}) => name).sort();
+  }
+
+  it('adds voters up to the target and no further', async () => {
+    await cluster.startAll();
+    await cluster.untilLeader();
+    await cluster.run(4_000);
+    const names = await voterNames();
+    expect(names).to.have.length(5);
+    expect(names).to.include.members(['a', 'b', 'c']);
+  });
+
+  it('keeps what was acknowledged when two voters lose everything at once', async () => {
+    await cluster.startAll();
+    await cluster.untilLeader();
+    await cluster.run(4_000);
+    await propose('one');
+    const leader = (await cluster.untilLeader()).name;
+    const lost = [leader, (await voterNames()).find(n => n !== leader) ?? ''];
+    for (const name of lost) cluster.crash(name);
+    await propose('two');
+    const next = await cluster.untilLeader();
+    expect(next.machine.items).to.include.members(['one', 'two']);
+  });
+
+  it('adds no voter while the group has no majority', async () => {
+    for (const name of ['a', 'd', 'e']) await cluster.start(name);
+    await cluster.run(4_000);
+    expect(cluster.leader()).to.equal(undefined);
+    for (const name of ['b', 'c']) await cluster.start(name);
+    await cluster.run(6_000);
+    expect(await voterNames()).to.deep.equal(['a', 'b', 'c', 'd', 'e']);
+  });
+});
+
 describe('ReplicatedLog with a member to spare', () => {
   let cluster: TestCluster;
 
