Carry the leader's orders by other members on large pools

Change: above 64 upstreams the orders go in frames to the other members, which speak HTTP with the upstreams; one outcome per order, another path after an order without an answer. Placement looks at a pool once per turn of the event loop, computes time factors at most every 50 ms and skips tasks larger than one that found no room. Votes are spread over the data centres, five where two members may be lost at once.

--- a/packages/coordination/src/replicated_log/replication.ts
+++ b/packages/coordination/src/replicated_log/replication.ts
@@ -1,7 +1,6 @@
-/** The leader's side of replication: sending, commit rule, voter replacement. */
+/** The leader's side of replication: sending and the commit rule. */
 import {
   changesConfig,
-  committedInTerm,
   configOf,
   hasQuorum,
   lastIndex,
@@ -10,9 +9,7 @@
   type Progress,
   termAt,
 } from './core_state.js';
-import {completeReads} from './leases.js';
-import type {LogEntry, VoterReplacement} from './log_entries.js';
-import type {AppendReply} from './log_messages.js';
+import type {LogEntry} from './log_entries.js';
 import {
   ABSENT_INCARNATION,
   type MemberId,
@@ -87,7 +84,8 @@
   return memberKey({name: member.name, incarnation}) in state.progress;
 }
 
-function sendAppend<C>(
+/** Sends one member what it lacks. */
+export function sendAppend<C>(
   ctx: StepContext<C>,
   state: LogCoreState<C>,
   peer: Progress,
@@ -120,62 +118,6 @@
   return needsSnapshot ? peer : {...peer, next: from + entries.length};
 }
 
-/** Records a member's reply and continues with what it allows. */
-export function receiveAppendReply<C>(
-  ctx: StepContext<C>,
-  state: LogCoreState<C>,
-  from: MemberId,
-  message: AppendReply,
-): LogCoreState<C> {
-  const key = memberKey(from);
-  const peer = state.progress[key];
-  if (state.role !== 'leader' || message.term !== state.term || !peer) {
-    return state;
-  }
-  const known = recordReply(state, peer, message);
-  const updated = {...state, progress: {...state.progress, [key]: known}};
-  const committed = advanceCommit(ctx, updated);
-  const current = committed.progress[key];
-  const sent = current
-    ? {
-        ...committed,
-        progress: {
-          ...committed.progress,
-          [key]: sendAppend(ctx, committed, current, false),
-        },
-      }
-    : committed;
-  return completeReads(ctx, promoteLearner(ctx, requestTakeover(ctx, sent)));
-}
-
-function recordReply<C>(
-  state: LogCoreState<C>,
-  peer: Progress,
-  message: AppendReply,
-): Progress {
-  const sentAt = state.roundTimes.find(time => time.round === message.round);
-  const contact: Progress = {
-    ...peer,
-    disk: message.disk,
-    ackedRound: Math.max(peer.ackedRound, message.round),
-    ackedAt: Math.max(peer.ackedAt, sentAt?.at ?? Number.NEGATIVE_INFINITY),
-  };
-  if (!message.ok) {
-    const next = Math.max(
-      peer.match + 1,
-      Math.min(peer.next, message.match + 1),
-    );
-    return {...contact, next};
-  }
-  const match = Math.max(peer.match, message.match);
-  return {
-    ...contact,
-    match,
-    next: Math.max(peer.next, match + 1),
-    synced: Math.max(peer.synced, message.synced),
-  };
-}
-
 /** Own index that counts for commitment. */
 function ownMatch<C>(state: LogCoreState<C>, cfg: LogCoreConfig): number {
   return cfg.syncEverything ? state.syncedIndex : lastIndex(state);
@@ -248,76 +190,3 @@
   }
   return state;
 }
-
-/** Whether a registered member without a vote may get one. */
-export function hasPlaceFor<C>(
-  ctx: StepContext<C>,
-  state: LogCoreState<C>,
-  {name, incarnation}: MemberId,
-): boolean {
-  if (state.registered[name] !== incarnation) return false;
-  const {targetVoters = 0} = ctx.cfg;
-  return (
-    state.config.voters.length < targetVoters ||
-    replaceableVoter(ctx, state) !== undefined
-  );
-}
-
-/** A voter that has been silent for so long that another may replace it. */
-function replaceableVoter<C>(
-  ctx: StepContext<C>,
-  state: LogCoreState<C>,
-): MemberId | undefined {
-  const limitMs = ctx.cfg.replaceSilentAfterMs;
-  if (limitMs === undefined) return undefined;
-  return state.config.voters.find(voter => {
-    const ackedAt = state.progress[memberKey(voter)]?.ackedAt ?? -Infinity;
-    const since = Math.max(ackedAt, state.leaderSince);
-    return !sameMember(voter, state.self) && ctx.now - since > limitMs;
-  });
-}
-
-/**
- * Gives a vote to a learner that holds all committed entries and is
- * registered: in the place of its own old incarnation or of a voter that is
- * silent, or beside the others while the group is to grow. One at a time: the
- * previous change must be complete.
- */
-export function promoteLearner<C>(
-  ctx: StepContext<C>,
-  state: LogCoreState<C>,
-): LogCoreState<C> {
-  if (!committedInTerm(state) || state.config.beforeRepair || state.transfer) {
-    return state;
-  }
-  for (const {member, match, ackedAt} of Object.values(state.progress)) {
-    const ready =
-      state.registered[member.name] === member.incarnation &&
-      match >= state.commitIndex &&
-      ctx.now - ackedAt < ctx.cfg.electionTimeoutMs;
-    const replacement = ready ? replacementBy(ctx, state, member) : null;
-    if (!replacement) continue;
-    const content = {commands: [], durable: false, replacement};
-    return sendToAll(ctx, appendAsLeader(ctx, state, content), false);
-  }
-  return state;
-}
-
-/** How a member may get a vote; null if it has one or there is no place. */
-function replacementBy<C>(
-  ctx: StepContext<C>,
-  state: LogCoreState<C>,
-  add: MemberId,
-): VoterReplacement | null {
-  const {voters} = state.config;
-  const namesake = voters.find(voter => voter.name === add.name);
-  if (namesake) {
-    const isOther =
-      !sameMember(namesake, add) && !sameMember(namesake, state.self);
-    return isOther ? {remove: namesake, add} : null;
-  }
-  const {targetVoters = 0} = ctx.cfg;
-  if (voters.length < targetVoters) return {remove: null, add};
-  const remove = replaceableVoter(ctx, state);
-  return remove ? {remove, add} : null;
-}
--- a/packages/coordination/src/replicated_log/step.ts
+++ b/packages/coordination/src/replicated_log/step.ts
@@ -5,6 +5,7 @@
  */
 import {assertNever} from '@mustardferry/model';
 
+import {receiveAppendReply} from './append_replies.js';
 import type {LogEffect, LogEvent, LogStep} from './core_events.js';
 import {
   configOf,
@@ -29,13 +30,11 @@
   advanceCommit,
   appendAsLeader,
   broadcast,
-  hasPlaceFor,
-  promoteLearner,
-  receiveAppendReply,
   requestTakeover,
   sendToAll,
 } from './replication.js';
 import type {StepContext} from './step_context.js';
+import {hasPlaceFor, promoteLearner} from './voter_changes.js';
 
 /** A learner that is silent for this many election timeouts is forgotten. */
 const LEARNER_EXPIRY_TIMEOUTS = 10;
--- a/packages/dispatch/src/instance/leader_client.ts
+++ b/packages/dispatch/src/instance/leader_client.ts
@@ -3,6 +3,7 @@
 import type {Logger} from '@mustardferry/runtime';
 
 import type {Call, CallOrigin, GroupView, Reply} from '../messages/calls.js';
+import type {OrderOutcomeMessage} from '../messages/order_messages.js';
 import type {Hello, PeerMessage} from '../messages/peer_messages.js';
 
 /** Options of a client. */
@@ -13,6 +14,12 @@
   readonly logger: Logger;
   /** Answers calls on an instance that leads; resolves null elsewhere. */
   readonly local?: (call: Call, origin: CallOrigin) => Promise<Reply> | null;
+  /** Takes the outcomes of orders that members carried. */
+  readonly onOrderOutcome?: (
+    carrier: string,
+    message: OrderOutcomeMessage,
+  ) => void;
+  readonly onDisconnected?: (address: string) => void;
 }
 
 /** Outcome of a call. */
@@ -81,9 +88,14 @@
     for (const address of addresses) this.connect(address);
   }
 
-  /** Sends a message to a member, if it is connected. */
-  send(address: string, message: PeerMessage): void {
-    this.peers.get(address)?.link.send(message);
+  /** Sends a message to a member; returns whether it is connected. */
+  send(address: string, message: PeerMessage): boolean {
+    return this.peers.get(address)?.link.send(message) ?? false;
+  }
+
+  /** Whether the connection to a member is open. */
+  isConnected(address: string): boolean {
+    return this.peers.get(address)?.link.isUp ?? false;
   }
 
   /**
@@ -193,6 +205,7 @@
       pendingCalls: peer.pending.size,
     });
     for (const settle of [...peer.pending.values()]) settle('lost');
+    this.options.onDisconnected?.(address);
     this.notify();
   }
 
@@ -201,6 +214,8 @@
       this.peers.get(address)?.pending.get(message.id)?.(message.reply);
     } else if (message.type === 'view') {
       this.merge(message.view);
+    } else if (message.type === 'order-outcome') {
+      this.options.onOrderOutcome?.(address, message);
     }
   }
 
@@ -223,7 +238,7 @@
 
   private notify(): void {
     const voters = this.known?.voters ?? [];
-    const reached = voters.filter(v => this.peers.get(v)?.link.isUp).length;
+    const reached = voters.filter(v => this.isConnected(v)).length;
     if (reached * 2 > voters.length) this.cutOffAt = null;
     else this.cutOffAt ??= performance.now();
     for (const waiter of [...this.waiters]) waiter();
--- a/packages/dispatch/src/instance/member.ts
+++ b/packages/dispatch/src/instance/member.ts
@@ -12,35 +12,28 @@
 import type {Command, CommandResult} from '../jobs/commands.js';
 import {DispatchState} from '../jobs/dispatch_state.js';
 import type {Call, CallOrigin, GroupView, Reply} from '../messages/calls.js';
-import type {PeerMessage} from '../messages/peer_messages.js';
+import type {Hello, PeerMessage} from '../messages/peer_messages.js';
 import {Owner} from '../owner/owner.js';
 import {sleep} from '../owner/waiting.js';
 import {FIRST_INCARNATION, firstMembers, firstVoters} from './first_voters.js';
 import {currentView} from './group_view.js';
+import {KnownMembers} from './known_members.js';
 import {type CallOutcome, LeaderClient} from './leader_client.js';
 import {LinkTransport} from './link_transport.js';
+import {
+  ELECTION_TIMEOUT_MS,
+  HEARTBEAT_MS,
+  REPLACE_SILENT_AFTER_MS,
+  SEGMENT_BYTES,
+  SNAPSHOT_EVERY_ENTRIES,
+} from './log_timing.js';
 import type {MemberOptions} from './member_options.js';
+import {carryOrder} from './order_carrier.js';
 import {PauseDetector} from './pause_detector.js';
+import {RelayedPort} from './relayed_port.js';
+import {votersFor} from './voter_places.js';
 import {WaitingCallers} from './waiting_callers.js';
 
-/** Interval of heartbeats in ms. */
-const HEARTBEAT_MS = 60;
-
-/** Shortest election timeout in ms: five heartbeats. */
-const ELECTION_TIMEOUT_MS = 300;
-
-/**
- * Silence in ms of a voter after which another member may take its place: a
- * machine that restarts is back before.
- */
-const REPLACE_SILENT_AFTER_MS = 6_000;
-
-/** Segment size of the journal; a tenth of the smallest disk. */
-const SEGMENT_BYTES = 8 * 1024 * 1024;
-
-/** Entries between snapshots: a snapshot costs tens of ms. */
-const SNAPSHOT_EVERY_ENTRIES = 2_000;
-
 /** Period in ms in which a changed view is told to others. */
 const VIEW_PERIOD_MS = 50;
 
@@ -54,8 +47,8 @@
   readonly name = 'member';
   private readonly life = new LifecycleManager('member');
   private readonly state = new DispatchState();
-  private readonly registered = new Map<string, MemberId>();
-  private readonly others = new Set<string>();
+  private readonly others: KnownMembers;
+  private readonly port: RelayedPort;
   private readonly pauses: PauseDetector;
   private readonly client: LeaderClient;
   private server!: FrameServer<PeerMessage>;
@@ -71,7 +64,7 @@
     private readonly options: MemberOptions,
     private readonly self: MemberId,
   ) {
-    const {address, seeds, logger} = options;
+    const {address, dataCentre, seeds, logger} = options;
     this.pauses = this.life.own(
       new PauseDetector(pausedMs => logger.warn('clock-jumped', {pausedMs})),
     );
@@ -81,13 +74,27 @@
           type: 'hello',
           role: 'member',
           address,
+          dataCentre,
           incarnation: self.incarnation,
         },
         seeds,
         logger,
         local: (call, origin) => this.local(call, origin),
+        onOrderOutcome: (carrier, {id, outcome}) =>
+          this.port.outcome(carrier, id, outcome),
+        onDisconnected: carrier => this.port.lost(carrier),
       }),
     );
+    this.others = new KnownMembers({
+      ...options,
+      isConnected: other => this.client.isConnected(other),
+    });
+    this.port = new RelayedPort({
+      direct: options.port,
+      carriers: () => this.others.connected,
+      send: (carrier, message) => this.client.send(carrier, message),
+      logger,
+    });
   }
 
   /** Recovers the member's state and starts it. */
@@ -183,12 +190,13 @@
       heartbeatMs: HEARTBEAT_MS,
       electionTimeoutMs: ELECTION_TIMEOUT_MS,
       replaceSilentAfterMs: REPLACE_SILENT_AFTER_MS,
+      targetVoters: votersFor(this.options.lossesBorne),
       snapshotEveryEntries: SNAPSHOT_EVERY_ENTRIES,
       onFailure: err => this.failed(err),
     });
     this.log = log;
     this.life.defer('log', () => log.close());
-    for (const member of this.registered.values()) log.setRegistered(member);
+    this.others.registerVoters(this.log);
     log.onLeadership(({leader, term}) => this.setLeadership(leader, term));
     logger.info('log-opened', {
       ...log.status(),
@@ -209,6 +217,7 @@
     if (leads && log) {
       this.owner = new Owner({
         ...options,
+        port: this.port,
         log,
         state: this.state,
         term,
@@ -232,34 +241,40 @@
   ): Promise<void> {
     switch (message.type) {
       case 'hello':
-        if (message.role === 'member')
-          this.meet(message.address, message.incarnation);
+        if (message.role === 'member') this.meet(message);
         return;
       case 'log':
         this.log?.receive(message.from, message.message as LogMessage<Command>);
         return;
-      case 'call': {
-        const {id, call, origin} = message;
-        if (call.type === 'submit') this.callers.add(call.job.id, channel);
-        const reply = (await this.local(call, origin)) ?? {
-          type: 'not-leader' as const,
-        };
-        if (call.type === 'submit') this.callers.remove(call.job.id, channel);
-        channel.send({type: 'reply', id, reply});
+      case 'call':
+        return this.answerCall(channel, message);
+      case 'order':
+        channel.send(await carryOrder(this.options.port, message));
+        return;
+      case 'orders-end':
+        this.options.port.release(message.to);
         return;
-      }
-      case 'reply':
-      case 'view':
+      default:
+        // The others are only sent the other way.
         return;
     }
   }
 
-  private meet(address: string, incarnation: string): void {
-    const member = {name: address, incarnation};
-    this.others.add(address);
-    this.registered.set(address, member);
-    this.client.addMembers([address]);
-    this.log?.setRegistered(member);
+  private async answerCall(
+    channel: FrameChannel<PeerMessage>,
+    {id, call, origin}: Extract<PeerMessage, {type: 'call'}>,
+  ): Promise<void> {
+    const job = call.type === 'submit' ? call.job.id : null;
+    if (job !== null) this.callers.add(job, channel);
+    const reply = await this.local(call, origin);
+    if (job !== null) this.callers.remove(job, channel);
+    channel.send({type: 'reply', id, reply: reply ?? {type: 'not-leader'}});
+  }
+
+  private meet(hello: Hello): void {
+    this.others.meet(hello);
+    this.client.addMembers([hello.address]);
+    this.others.registerVoters(this.log);
   }
 
   private currentView(): GroupView {
@@ -268,7 +283,7 @@
       status: this.log?.status() ?? null,
       firstVoters: this.firstVoters,
       told: this.client.view,
-      others: [...this.others],
+      others: this.others.addresses,
       leads: this.owner !== null,
     });
   }
@@ -278,6 +293,7 @@
     const text = JSON.stringify(view);
     if (text === this.told) return;
     this.told = text;
+    this.others.registerVoters(this.log);
     this.client.setView(view);
     this.server.broadcast({type: 'view', view});
   }
--- a/packages/dispatch/src/instance/member_options.ts
+++ b/packages/dispatch/src/instance/member_options.ts
@@ -12,6 +12,9 @@
   readonly seeds: readonly string[];
   /** Whether the whole group starts for the first time. */
   readonly firstStart: boolean;
+  readonly dataCentre: string;
+  /** Members that may be lost at once, with their disks. */
+  readonly lossesBorne: number;
   readonly files: FileSystem;
   readonly dataFolder: string;
   readonly port: UpstreamPort;
--- a/packages/dispatch/src/messages/peer_messages.ts
+++ b/packages/dispatch/src/messages/peer_messages.ts
@@ -2,12 +2,18 @@
 import type {LogMessage, MemberId} from '@mustardferry/coordination';
 
 import type {Call, CallOrigin, GroupView, Reply} from './calls.js';
+import type {
+  OrderMessage,
+  OrderOutcomeMessage,
+  OrdersEndMessage,
+} from './order_messages.js';
 
 /** First message on a connection, from the side that opened it. */
 export interface Hello {
   readonly type: 'hello';
   readonly role: 'member' | 'gateway';
   readonly address: string;
+  readonly dataCentre: string;
   /** Incarnation of a voter; empty for other instances. */
   readonly incarnation: string;
 }
@@ -15,6 +21,9 @@
 /** Any message between instances. */
 export type PeerMessage =
   | Hello
+  | OrderMessage
+  | OrderOutcomeMessage
+  | OrdersEndMessage
   | {
       readonly type: 'call';
       readonly id: number;
--- a/packages/dispatch/src/owner/placement.ts
+++ b/packages/dispatch/src/owner/placement.ts
@@ -2,6 +2,7 @@
 import type {OutlierEjection} from '@mustardferry/decisions';
 
 import type {BoardTask} from './board_types.js';
+import type {PoolPass} from './pool_pass.js';
 import {OVERHEAD_MS} from './ready_queue.js';
 import type {UpstreamSession} from './upstream_session.js';
 import type {UpstreamSpeed} from './upstream_speed.js';
@@ -12,14 +13,6 @@
 /** Share of the capacity in use above which fast upstreams are saved. */
 const SCARCE_SHARE = 0.6;
 
-/** What a choice is made from. */
-export interface PlacementInput {
-  readonly sessions: readonly UpstreamSession[];
-  readonly now: number;
-  /** Time factor of tasks whose data is in another rack. */
-  readonly remoteFactor: number;
-}
-
 /** A choice, with what decided it. */
 export interface Placement {
   readonly session: UpstreamSession;
@@ -41,23 +34,23 @@
 
   /** Time factor of the fastest upstream, busy or not; 1 without any. */
   fastestFactor(sessions: readonly UpstreamSession[], now: number): number {
-    const factors = sessions.map(({key}) => this.speed.factor(key, now));
-    return factors.length === 0 ? 1 : Math.min(...factors);
-  }
-
-  /** Share of the processors of the upstreams that runs take. */
-  usedShare(sessions: readonly UpstreamSession[]): number {
-    return usedShare(sessions);
+    let fastest = Infinity;
+    for (const {key} of sessions) {
+      fastest = Math.min(fastest, this.speed.factor(key, now));
+    }
+    return Number.isFinite(fastest) ? fastest : 1;
   }
 
-  choose(task: BoardTask, input: PlacementInput): Placement | null {
-    const scarce = this.usedShare(input.sessions) > SCARCE_SHARE;
+  choose(task: BoardTask, pass: PoolPass): Placement | null {
+    if (pass.isFullFor(task)) return null;
+    const scarce = pass.usedShare > SCARCE_SHARE;
     let best: Placement | null = null;
-    for (const session of input.sessions) {
-      if (!this.isEligible(task, session, input.now)) continue;
-      const found = this.evaluate(task, session, input);
+    for (const session of pass.sessions) {
+      if (!this.isEligible(task, session, pass.now)) continue;
+      const found = this.evaluate(task, session, pass);
       if (!best || isBetter(found, best, scarce)) best = found;
     }
+    if (!best) pass.noteFull(task);
     return best;
   }
 
@@ -67,7 +60,7 @@
     now: number,
   ): boolean {
     const {step} = task;
-    if (!session.accepts || !session.runs.use.fits(step)) return false;
+    if (!session.runs.use.fits(step) || !session.accepts) return false;
     if (session.fullUntil > now || task.avoid.includes(session.key)) {
       return false;
     }
@@ -86,7 +79,7 @@
   private evaluate(
     task: BoardTask,
     session: UpstreamSession,
-    {now, remoteFactor}: PlacementInput,
+    {now, remoteFactor}: PoolPass,
   ): Placement {
     const {step, job} = task;
     const near =
@@ -120,14 +113,3 @@
   }
   return count;
 }
-
-function usedShare(sessions: readonly UpstreamSession[]): number {
-  let used = 0;
-  let total = 0;
-  for (const {runs, record, accepts} of sessions) {
-    if (!accepts) continue;
-    used += runs.use.usedCpuMillis;
-    total += record.cpuMillis;
-  }
-  return total === 0 ? 0 : used / total;
-}
--- a/packages/dispatch/src/owner/run_starter.ts
+++ b/packages/dispatch/src/owner/run_starter.ts
@@ -4,6 +4,7 @@
 
 import type {BoardTask, Run} from './board_types.js';
 import type {Placement, PlacementPolicy} from './placement.js';
+import {PoolPass} from './pool_pass.js';
 import {type Band, type OfferResult, OVERHEAD_MS} from './ready_queue.js';
 import {RunProgress} from './run_progress.js';
 import type {TaskBoard} from './task_board.js';
@@ -31,14 +32,6 @@
 /** Upstreams of a pool up to which a task may have to use all of them. */
 const SMALL_POOL = 4;
 
-/** What tasks are offered to in one pass. */
-interface Offer {
-  readonly sessions: readonly UpstreamSession[];
-  readonly now: number;
-  /** Time factor of the fastest upstream, busy or not. */
-  readonly fastestFactor: number;
-}
-
 /** Owns the pools of upstreams. */
 export class RunStarter {
   private readonly pools = new Map<string, UpstreamSession[]>();
@@ -82,11 +75,11 @@
     this.pools.set(pool, others);
   }
 
-  /** Starts what fits, after the current turn. */
+  /** Starts what fits, once all messages that have arrived are taken. */
   schedule(): void {
     if (this.scheduled || this.closed) return;
     this.scheduled = true;
-    queueMicrotask(() => {
+    setImmediate(() => {
       this.scheduled = false;
       if (!this.closed && this.options.mayOrder()) this.startReady();
     });
@@ -97,40 +90,39 @@
     for (const [pool, queue] of this.options.board.readyQueues) {
       if (queue.size === 0) continue;
       const sessions = this.sessionsOf(pool);
-      const {placement} = this.options;
+      const {placement, remoteFactor} = this.options;
       const fastestFactor = placement.fastestFactor(sessions, now);
+      const pass = new PoolPass({sessions, now, remoteFactor, fastestFactor});
       queue.offerAll({
         now,
         fastestFactor,
         isOffered: task => this.settled || task.job.isNew,
-        offer: (task, band) =>
-          this.offer(task, band, {sessions, now, fastestFactor}),
+        offer: (task, band) => this.offer(task, band, pass),
       });
     }
   }
 
-  private offer(task: BoardTask, band: Band, offer: Offer): OfferResult {
-    const {remoteFactor, placement, onHopeless} = this.options;
+  private offer(task: BoardTask, band: Band, pass: PoolPass): OfferResult {
+    const {placement, onHopeless} = this.options;
     const {admitted, started} = task.job;
     if (band === 'worthless' && !started && !admitted.durable) {
       onHopeless(admitted.id);
       return 'dropped';
     }
-    const {sessions, now} = offer;
+    const {sessions} = pass;
     if (sessions.length === 0) return 'full';
     const isLate = band !== 'in-time';
-    if (isLate && placement.usedShare(sessions) > MAX_SHARE_WITH_LATE) {
-      return 'full';
-    }
-    const found = placement.choose(task, {sessions, now, remoteFactor});
+    if (isLate && pass.usedShare > MAX_SHARE_WITH_LATE) return 'full';
+    const found = placement.choose(task, pass);
     if (!found) {
       if (sessions.length <= SMALL_POOL) task.avoid = [];
       return 'passed-over';
     }
-    if (found.marginMs < 0 && isInTimeElsewhere(task, offer)) {
+    if (found.marginMs < 0 && isInTimeElsewhere(task, pass)) {
       return 'passed-over';
     }
-    this.start(task, found, now);
+    pass.noteStart(task);
+    this.start(task, found, pass.now);
     return 'placed';
   }
 
@@ -167,7 +159,7 @@
 /** Whether a task would end in time on the fastest upstream. */
 function isInTimeElsewhere(
   {job, step}: BoardTask,
-  {now, fastestFactor}: Offer,
+  {now, fastestFactor}: PoolPass,
 ): boolean {
   const endMs = now - job.since + step.declaredMs * fastestFactor + OVERHEAD_MS;
   return endMs <= job.objectiveMs;
--- a/packages/dispatch/src/owner/stragglers.ts
+++ b/packages/dispatch/src/owner/stragglers.ts
@@ -4,6 +4,7 @@
 
 import type {BoardTask, Run} from './board_types.js';
 import type {PlacementPolicy} from './placement.js';
+import {PoolPass} from './pool_pass.js';
 import type {UpstreamSession} from './upstream_session.js';
 import type {UpstreamSpeed} from './upstream_speed.js';
 
@@ -61,7 +62,11 @@
     const sessions = sessionsOf(task.job.admitted.pool).filter(
       other => other !== session,
     );
-    const found = placement.choose(task, {sessions, now, remoteFactor});
+    const fastestFactor = placement.fastestFactor(sessions, now);
+    const found = placement.choose(
+      task,
+      new PoolPass({sessions, now, remoteFactor, fastestFactor}),
+    );
     if (!found) return;
     const elsewhereMs = found.expectedMs + STOP_MS;
     if (remainingMs < MIN_GAIN_FACTOR * elsewhereMs) return;
--- a/packages/dispatch/src/owner/upstream_speed.ts
+++ b/packages/dispatch/src/owner/upstream_speed.ts
@@ -15,16 +15,22 @@
  */
 const HALF_LIFE_MS = 8_000;
 
+/** Time in ms for which a computed factor is used again; it changes slowly. */
+const REUSE_MS = 50;
+
 interface Known {
   /** Natural logarithm of the time factor. */
   readonly log: number;
   readonly at: number;
+  factor: number;
+  factorAt: number;
 }
 
 /** Time factors: run time divided by the declared time. */
 export class UpstreamSpeed {
   private readonly known = new Map<string, Known>();
   private mean = 0;
+  private meanFactor = 1;
 
   /** Learns from a run that ended, or that will as far as it shows. */
   observe(
@@ -37,13 +43,21 @@
     const bounded = Math.max(-MAX_LOG_RATIO, Math.min(MAX_LOG_RATIO, ratio));
     const log = this.log(upstream, now);
     const next = log + NEWEST_WEIGHT * (bounded - log);
-    this.known.set(upstream, {log: next, at: now});
+    const factor = Math.exp(next);
+    this.known.set(upstream, {log: next, at: now, factor, factorAt: now});
     this.mean += MEAN_WEIGHT * (bounded - this.mean);
+    this.meanFactor = Math.exp(this.mean);
   }
 
   /** Expected run time divided by the declared time. */
   factor(upstream: string, now: number): number {
-    return Math.exp(this.log(upstream, now));
+    const known = this.known.get(upstream);
+    if (!known) return this.meanFactor;
+    if (now - known.factorAt >= REUSE_MS) {
+      known.factor = Math.exp(this.log(upstream, now));
+      known.factorAt = now;
+    }
+    return known.factor;
   }
 
   forget(upstream: string): void {
--- a/packages/dispatch/src/upstreams/upstream_port.ts
+++ b/packages/dispatch/src/upstreams/upstream_port.ts
@@ -7,6 +7,7 @@
 /** Where an order goes. */
 export interface UpstreamTarget extends UpstreamLife {
   readonly address: string;
+  readonly dataCentre: string;
 }
 
 /** Part of every order. */
--- a/packages/dispatch/tests/instance/leader_client.test.ts
+++ b/packages/dispatch/tests/instance/leader_client.test.ts
@@ -67,7 +67,13 @@
     members = [new TestMember(), new TestMember(), new TestMember()];
     for (const each of members) await each.open();
     client = new LeaderClient({
-      self: {type: 'hello', role: 'gateway', address: 'g', incarnation: ''},
+      self: {
+        type: 'hello',
+        role: 'gateway',
+        address: 'g',
+        dataCentre: 'a',
+        incarnation: '',
+      },
       seeds: [member(0).address],
       logger: createLogger('silent'),
     });
--- /dev/null
+++ b/packages/dispatch/tests/instance/relayed_port.test.ts
@@ -0,0 +1,179 @@
+/** Orders that other members carry: what the leader learns of each. */
+import {createLogger} from '@mustardferry/runtime';
+import fakeTimers, {type Clock} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+
+import {carryOrder} from '../../src/instance/order_carrier.js';
+import type {Carrier} from '../../src/instance/order_paths.js';
+import {RelayedPort} from '../../src/instance/relayed_port.js';
+import type {
+  OrderMessage,
+  OrdersEndMessage,
+} from '../../src/messages/order_messages.js';
+import {
+  type HoldOrder,
+  OrderNotSentError,
+  OrderUnansweredError,
+  type UpstreamTarget,
+} from '../../src/upstreams/upstream_port.js';
+import {FakePort, FakeUpstream} from '../fake_upstreams.js';
+
+const HOLD: HoldOrder = {token: 1, timeoutMs: 200, acknowledged: 0, waitMs: 0};
+
+/** Upstreams of which the last need other members to carry orders. */
+const COUNT = 70;
+
+class CountingPort extends FakePort {
+  holds = 0;
+  readonly released: UpstreamTarget[] = [];
+
+  override hold(to: UpstreamTarget, order: HoldOrder) {
+    this.holds++;
+    return super.hold(to, order);
+  }
+
+  override release(to?: UpstreamTarget): void {
+    if (to) this.released.push(to);
+  }
+}
+
+describe('RelayedPort', () => {
+  let clock: Clock;
+  let upstreams: FakeUpstream[];
+  let direct: CountingPort;
+  let ports: Map<string, CountingPort>;
+  let connected: Carrier[];
+  let silent: Set<string>;
+  let sent: (OrderMessage | OrdersEndMessage)[];
+  let port: RelayedPort;
+
+  beforeEach(() => {
+    clock = fakeTimers.install({
+      toFake: ['setTimeout', 'clearTimeout', 'performance'],
+    });
+    upstreams = Array.from(
+      {length: COUNT},
+      (_, i) => new FakeUpstream(`u${i}`, `10.0.0.${i}:1`, []),
+    );
+    direct = new CountingPort(upstreams);
+    connected = [
+      {address: 'm1', dataCentre: 'a'},
+      {address: 'm2', dataCentre: 'a'},
+      {address: 'm3', dataCentre: 'b'},
+    ];
+    ports = new Map(
+      connected.map(({address}) => [address, new CountingPort(upstreams)]),
+    );
+    silent = new Set();
+    sent = [];
+    port = new RelayedPort({
+      direct,
+      carriers: () => connected,
+      send: (carrier, message) => deliver(carrier, message),
+      logger: createLogger('silent'),
+    });
+  });
+
+  afterEach(() => clock.uninstall());
+
+  function deliver(
+    carrier: string,
+    message: OrderMessage | OrdersEndMessage,
+  ): boolean {
+    sent.push(message);
+    const reached = connected.some(({address}) => address === carrier);
+    const carried = ports.get(carrier);
+    if (message.type !== 'order' || !carried || !reached) return reached;
+    if (!silent.has(carrier)) {
+      void carryOrder(carried, message).then(({id, outcome}) =>
+        port.outcome(carrier, id, outcome),
+      );
+    }
+    return true;
+  }
+
+  function target(index: number): UpstreamTarget {
+    const {id, address, startedAt} = upstreams[index] as FakeUpstream;
+    return {id, address, startedAt, dataCentre: index % 2 === 0 ? 'a' : 'b'};
+  }
+
+  async function holdAll(): Promise<void> {
+    for (let i = 0; i < COUNT; i++) await hold(i);
+  }
+
+  async function hold(index: number): Promise<string> {
+    const answer = port.hold(target(index), HOLD).then(
+      ({type}) => type,
+      (err: unknown) => (err as Error).constructor.name,
+    );
+    await clock.tickAsync(300);
+    return answer;
+  }
+
+  function carriedBy(carrier: string): number {
+    return ports.get(carrier)?.holds ?? 0;
+  }
+
+  it('gives the orders of a small pool itself, which costs no hop', async () => {
+    for (let i = 0; i < 60; i++) await hold(i);
+    expect(direct.holds).to.equal(60);
+    expect(sent).to.deep.equal([]);
+  });
+
+  it('lets members of the same data centre carry the orders of a large one', async () => {
+    await holdAll();
+    ports.forEach(each => (each.holds = 0));
+    direct.holds = 0;
+    await holdAll();
+    expect(direct.holds).to.equal(0);
+    expect(carriedBy('m3')).to.equal(COUNT / 2);
+    expect(Math.abs(carriedBy('m1') - carriedBy('m2'))).to.be.at.most(1);
+  });
+
+  it('reports an order that a member could not deliver as never sent', async () => {
+    await holdAll();
+    (upstreams[0] as FakeUpstream).fate = () => 'unreached';
+    expect(await hold(0)).to.equal(OrderNotSentError.name);
+  });
+
+  it('reports an order as unanswered when its member stays silent, as it may still be carried out', async () => {
+    await holdAll();
+    silent = new Set(['m1', 'm2', 'm3']);
+    expect(await hold(0)).to.equal(OrderUnansweredError.name);
+  });
+
+  it('leaves a silent member at once, so that its upstreams keep their leases', async () => {
+    await holdAll();
+    silent = new Set(['m3']);
+    expect(await hold(1)).to.equal(OrderUnansweredError.name);
+    expect(await hold(1)).to.equal('held');
+    expect(await hold(3)).to.equal('held');
+  });
+
+  it('reports the orders of a member whose connection ends', async () => {
+    await holdAll();
+    silent = new Set(['m3']);
+    const answer = port.hold(target(1), HOLD).catch((err: unknown) => err);
+    await clock.tickAsync(1);
+    port.lost('m3');
+    await clock.tickAsync(1);
+    expect(await answer).to.be.instanceOf(OrderUnansweredError);
+  });
+
+  it('goes back to the direct way when no member is connected', async () => {
+    await holdAll();
+    connected = [];
+    direct.holds = 0;
+    expect(await hold(0)).to.equal('held');
+    expect(direct.holds).to.equal(1);
+  });
+
+  it('tells the member that carried the orders of an upstream of its end', async () => {
+    await holdAll();
+    await holdAll();
+    sent = [];
+    port.release(target(1));
+    expect(sent).to.deep.equal([{type: 'orders-end', to: target(1)}]);
+    expect(direct.released).to.deep.equal([target(1)]);
+  });
+});
