Tell an upstream only once which ends it may forget

Positions count anew in each life, so the new one forgot two ends that nobody had seen, and the tasks ran again.

--- a/packages/dispatch/src/owner/upstream_session.ts
+++ b/packages/dispatch/src/owner/upstream_session.ts
@@ -39,6 +39,8 @@
   private seen: number;
   /** Position up to which the upstream may forget ends. */
   private acknowledged: number;
+  /** Position up to which this life of the upstream was told so. */
+  private told = 0;
   /** Runs listed last that the session doesn't track. */
   private strays = 0;
   private committing: Promise<void> | null = null;
@@ -156,7 +158,8 @@
       this.failures === 0 &&
       this.runs.size === 0 &&
       this.strays === 0 &&
-      this.seen === this.acknowledged
+      this.seen === this.acknowledged &&
+      this.told === this.acknowledged
     );
   }
 
@@ -167,12 +170,13 @@
   /** One hold; returns whether it was answered. */
   private async hold(waitMs: number): Promise<boolean> {
     const sentAt = performance.now();
+    const acknowledged = this.newlyAcknowledged;
     let answer: HoldAnswer;
     try {
       answer = await this.options.port.hold(this.record, {
         token: this.options.token,
         timeoutMs: waitMs + SESSION_TIMING.orderMs,
-        acknowledged: this.acknowledged,
+        acknowledged,
         waitMs,
         ...this.extension(sentAt),
       });
@@ -180,10 +184,23 @@
       if (!this.closed) this.holdFailed(err);
       return false;
     }
-    if (!this.closed) this.answered(answer, sentAt);
+    if (this.closed) return answer.type === 'held';
+    this.answered(answer, sentAt);
+    const isSameLife = !this.closed && answer.type === 'held';
+    if (isSameLife) this.told = Math.max(this.told, acknowledged);
     return answer.type === 'held';
   }
 
+  /**
+   * Positions count anew in each life, and a new one may have begun under the
+   * same id: a position that was told before would make it forget ends that
+   * nobody has seen.
+   */
+  private get newlyAcknowledged(): number {
+    const isDue = this.state !== 'fencing' && this.told < this.acknowledged;
+    return isDue ? this.acknowledged : 0;
+  }
+
   /** Extends the leases unless they are to run out. */
   private extension(now: number): {readonly leaseUntil?: number} {
     const lost =
--- a/packages/dispatch/src/upstreams/upstream_port.ts
+++ b/packages/dispatch/src/upstreams/upstream_port.ts
@@ -38,7 +38,7 @@
 export interface HoldOrder extends Order {
   /** Not set: the lease is not extended. */
   readonly leaseUntil?: number;
-  /** Ends up to this number may be forgotten. */
+  /** Ends up to this number may be forgotten; 0 for no more than before. */
   readonly acknowledged: number;
   /** Longest time that the upstream waits for an end before it answers. */
   readonly waitMs: number;
