--- a/packages/bench/src/relay/relay.ts
+++ b/packages/bench/src/relay/relay.ts
@@ -20,7 +20,9 @@
   | {readonly fault: 'cut'; readonly from: string; readonly to: string}
   | {readonly fault: 'heal'}
   /** Open connections go silent for good; new ones work. */
-  | {readonly fault: 'silence'; readonly from: string; readonly to: string};
+  | {readonly fault: 'silence'; readonly from: string; readonly to: string}
+  /** Open connections are reset; what is on its way is lost. */
+  | {readonly fault: 'reset'; readonly from: string; readonly to: string};
 
 /** Bytes that passed a link in both directions. */
 export interface LinkCount {
@@ -77,14 +79,31 @@
         this.poll();
         return;
       case 'silence':
-        for (const each of this.directions) {
-          const forth = each.from === fault.from && each.to === fault.to;
-          const back = each.to === fault.from && each.from === fault.to;
-          if (forth || back) each.silent = true;
+        for (const each of this.between(fault)) each.silent = true;
+        return;
+      case 'reset':
+        for (const each of this.between(fault)) {
+          this.directions.delete(each);
+          each.source.resetAndDestroy();
         }
     }
   }
 
+  /** Both directions of the connections between two places. */
+  private between({
+    from,
+    to,
+  }: {
+    readonly from: string;
+    readonly to: string;
+  }): readonly Direction[] {
+    return [...this.directions].filter(
+      each =>
+        (each.from === from && each.to === to) ||
+        (each.from === to && each.to === from),
+    );
+  }
+
   counts(): LinkCount[] {
     return this.links.map(({link, bytes, connections}) => ({
       from: link.from,
