Answer a job that is open, and not the overload, when it comes again

Cause: submissions were checked against the limit of open jobs before the job itself was looked up, so a repeated submission of a running job could be told that it never runs. Change: the look-up comes first. The positions of an upstream's list of ends have a class of their own.

--- a/packages/dispatch/src/owner/call_handler.ts
+++ b/packages/dispatch/src/owner/call_handler.ts
@@ -113,11 +113,11 @@
     if (state.jobs.has(job.id)) return {type: 'accepted'};
     const running = this.submitting.get(job.id);
     if (running) return running;
+    const answered = this.transients.known(job.id);
+    if (answered) return answered;
     if (board.openCount >= MAX_OPEN_JOBS) {
       return this.refuse(job.id, 'overloaded');
     }
-    const answered = this.transients.known(job.id);
-    if (answered) return answered;
     if (!job.durable) return this.runTransient(call, queue, arrival);
     const admission = this.admit(call, queue, arrival).finally(() =>
       this.submitting.delete(job.id),
--- a/packages/dispatch/src/owner/upstream_session.ts
+++ b/packages/dispatch/src/owner/upstream_session.ts
@@ -7,6 +7,7 @@
 } from '../upstreams/upstream_port.js';
 import {lifeKey, type UpstreamRecord} from '../upstreams/upstream_types.js';
 import type {Run} from './board_types.js';
+import {EndsCursor} from './ends_cursor.js';
 import {LeaseClock} from './lease_clock.js';
 import {RunOrders} from './run_orders.js';
 import {RunTable} from './run_table.js';
@@ -35,12 +36,7 @@
   private state: Contact = 'fencing';
   private clock: LeaseClock | null;
   private failures = 0;
-  /** Position of the newest end that was taken. */
-  private seen: number;
-  /** Position up to which the upstream may forget ends. */
-  private acknowledged: number;
-  /** Position up to which this life of the upstream was told so. */
-  private told = 0;
+  private readonly cursor: EndsCursor;
   /** Runs listed last that the session doesn't track. */
   private strays = 0;
   private committing: Promise<void> | null = null;
@@ -53,8 +49,7 @@
     this.record = record;
     this.key = lifeKey(record);
     this.runs = new RunTable(record);
-    this.seen = acknowledged;
-    this.acknowledged = acknowledged;
+    this.cursor = new EndsCursor(acknowledged);
     this.clock =
       clockMs === undefined
         ? null
@@ -158,8 +153,7 @@
       this.failures === 0 &&
       this.runs.size === 0 &&
       this.strays === 0 &&
-      this.seen === this.acknowledged &&
-      this.told === this.acknowledged
+      this.cursor.isIdle
     );
   }
 
@@ -170,7 +164,8 @@
   /** One hold; returns whether it was answered. */
   private async hold(waitMs: number): Promise<boolean> {
     const sentAt = performance.now();
-    const acknowledged = this.newlyAcknowledged;
+    // Before the first answer it is not sure which life will answer.
+    const acknowledged = this.state === 'fencing' ? 0 : this.cursor.due;
     let answer: HoldAnswer;
     try {
       answer = await this.options.port.hold(this.record, {
@@ -187,20 +182,10 @@
     if (this.closed) return answer.type === 'held';
     this.answered(answer, sentAt);
     const isSameLife = !this.closed && answer.type === 'held';
-    if (isSameLife) this.told = Math.max(this.told, acknowledged);
+    if (isSameLife) this.cursor.noteTold(acknowledged);
     return answer.type === 'held';
   }
 
-  /**
-   * Positions count anew in each life, and a new one may have begun under the
-   * same id: a position that was told before would make it forget ends that
-   * nobody has seen.
-   */
-  private get newlyAcknowledged(): number {
-    const isDue = this.state !== 'fencing' && this.told < this.acknowledged;
-    return isDue ? this.acknowledged : 0;
-  }
-
   /** Extends the leases unless they are to run out. */
   private extension(now: number): {readonly leaseUntil?: number} {
     const lost =
@@ -271,17 +256,16 @@
   }
 
   private takeEnds(all: readonly RunEnd[]): void {
-    const ends = all.filter(end => end.sequence > this.seen);
+    const ends = this.cursor.take(all);
     if (ends.length === 0) return;
-    this.seen = Math.max(...ends.map(end => end.sequence));
     for (const end of ends) {
       const run = this.runs.get(taskKey(end.task));
       if (run?.number === end.run) this.runs.remove(run);
     }
-    const upTo = this.seen;
+    const upTo = this.cursor.seenUpTo;
     const committed = this.options.events.ended(this, ends).then(ok => {
       if (!ok) return;
-      this.acknowledged = Math.max(this.acknowledged, upTo);
+      this.cursor.noteCommitted(upTo);
       if (this.committing === committed) this.committing = null;
     });
     this.committing = committed;
--- a/packages/dispatch/tests/owner/owner.test.ts
+++ b/packages/dispatch/tests/owner/owner.test.ts
@@ -282,23 +282,4 @@
     expect(reply).to.deep.equal({type: 'refused', reason: 'not-in-time'});
     expect(harness.spans.some(s => s.task.startsWith('b'))).to.equal(false);
   });
-
-  it('sees the end of a run that began in a life which was not announced yet', async () => {
-    await begin(1);
-    await harness.settled(harness.store('a', [step(2)]));
-    await harness.advance(2_000);
-    expect(await harness.stateOf('a')).to.equal('completed');
-    const upstream = harness.upstream(0);
-    upstream.reborn();
-    upstream.fate = kind => (kind === 'start' ? 'answer-lost' : 'lost');
-    const accepted = harness.store('b');
-    await harness.advance(150);
-    upstream.fate = () => 'delivered';
-    await harness.settled(accepted);
-    await harness.advance(3_000);
-    expect(await harness.stateOf('b')).to.equal('completed');
-    expect(harness.spans.filter(({task}) => task === 'b/0/0')).to.have.length(
-      1,
-    );
-  });
 });
--- /dev/null
+++ b/packages/dispatch/tests/owner/owner_repeats.test.ts
@@ -0,0 +1,53 @@
+/** What comes again: lives of an upstream, and submissions of a job. */
+import {expect} from 'chai';
+
+import {overlaps} from '../fake_upstreams.js';
+import {OwnerHarness, step} from '../owner_harness.js';
+
+describe('Owner, when things come again', () => {
+  let harness: OwnerHarness;
+
+  async function begin(upstreams: number): Promise<void> {
+    harness = new OwnerHarness(upstreams);
+    await harness.begin();
+  }
+
+  afterEach(async () => {
+    expect(overlaps(harness.spans)).to.deep.equal([]);
+    await harness.close();
+  });
+
+  it('sees the end of a run that began in a life which was not announced yet', async () => {
+    await begin(1);
+    await harness.settled(harness.store('a', [step(2)]));
+    await harness.advance(2_000);
+    expect(await harness.stateOf('a')).to.equal('completed');
+    const upstream = harness.upstream(0);
+    upstream.reborn();
+    upstream.fate = kind => (kind === 'start' ? 'answer-lost' : 'lost');
+    const accepted = harness.store('b');
+    await harness.advance(150);
+    upstream.fate = () => 'delivered';
+    await harness.settled(accepted);
+    await harness.advance(3_000);
+    expect(await harness.stateOf('b')).to.equal('completed');
+    expect(harness.spans.filter(({task}) => task === 'b/0/0')).to.have.length(
+      1,
+    );
+  });
+
+  it('does not refuse a job that is open when it comes again under overload', async () => {
+    await begin(0);
+    const first = harness.submit('a');
+    const others = Array.from({length: 5_000}, (_, i) =>
+      harness.submit(`other${i}`),
+    );
+    const again = harness.submit('a');
+    expect(await others.at(-1)).to.deep.equal({
+      type: 'refused',
+      reason: 'overloaded',
+    });
+    await harness.call({type: 'abandon', job: 'a'});
+    expect(await again).to.deep.equal(await first);
+  });
+});
