Look again at who may vote when a connection ends

Cause: members were registered for a vote when they connected or the view changed; a substitute that came while the lost voter still seemed connected would not have been registered later. Change: the check runs with each look at the view.

--- a/packages/dispatch/src/instance/member.ts
+++ b/packages/dispatch/src/instance/member.ts
@@ -157,7 +157,10 @@
           logger.warn('member-message-malformed', {peer: 'incoming', err}),
       }),
     );
-    this.life.every('view', VIEW_PERIOD_MS, () => this.tellView());
+    this.life.every('view', VIEW_PERIOD_MS, () => {
+      this.others.registerVoters(this.log);
+      this.tellView();
+    });
     const storage = await DiskLogStorage.open<Command>({
       files: folder.files,
       folder: folder.folderFor('log'),
@@ -196,7 +199,6 @@
     });
     this.log = log;
     this.life.defer('log', () => log.close());
-    this.others.registerVoters(this.log);
     log.onLeadership(({leader, term}) => this.setLeadership(leader, term));
     logger.info('log-opened', {
       ...log.status(),
@@ -274,7 +276,6 @@
   private meet(hello: Hello): void {
     this.others.meet(hello);
     this.client.addMembers([hello.address]);
-    this.others.registerVoters(this.log);
   }
 
   private currentView(): GroupView {
@@ -293,7 +294,6 @@
     const text = JSON.stringify(view);
     if (text === this.told) return;
     this.told = text;
-    this.others.registerVoters(this.log);
     this.client.setView(view);
     this.server.broadcast({type: 'view', view});
   }
