--- a/packages/dispatch/tests/owner/upstream_speed.test.ts
+++ b/packages/dispatch/tests/owner/upstream_speed.test.ts
@@ -21,4 +21,10 @@
     speed.observe('odd', 1e9, 1, 0);
     expect(speed.factor('odd', 0)).to.be.below(2.1);
   });
+
+  it('tells a slow upstream from others after two runs, so that a new one is not used blindly', () => {
+    const speed = new UpstreamSpeed();
+    for (let run = 0; run < 2; run++) speed.observe('slow', 180, 100, run);
+    expect(speed.factor('slow', 2)).to.be.within(1.4, 1.8);
+  });
 });
