Leave the calls at an earlier leader once another one is known

Change: 100 ms after another leader is known, the calls that an earlier one has not answered go to the new one. Result: the new client test (a leader that stays silent on an open connection) fails before and passes after.

--- a/packages/dispatch/src/instance/leader_client.ts
+++ b/packages/dispatch/src/instance/leader_client.ts
@@ -41,6 +41,9 @@
 /** Time in ms that connections take to come back after a reset. */
 const ISOLATION_GRACE_MS = 300;
 
+/** Time in ms in which an earlier leader that runs answers its open calls. */
+const FAREWELL_MS = 100;
+
 /** Pause in ms before a call is repeated, unless the view changes sooner. */
 const REPEAT_PAUSE_MS = 40;
 
@@ -233,9 +236,19 @@
     if (!changed) return;
     const {term, leader} = view;
     this.options.logger.info('leader-changed', {term, leader});
+    if (leader !== null) this.leaveOthers(leader);
     this.notify();
   }
 
+  /** An earlier leader that is paused would leave its calls unanswered. */
+  private leaveOthers(leader: string): void {
+    for (const {address, pending} of this.peers.values()) {
+      if (address === leader || pending.size === 0) continue;
+      const left = [...pending.values()];
+      setTimeout(() => left.forEach(settle => settle('lost')), FAREWELL_MS);
+    }
+  }
+
   /**
    * A gateway needs the path to the leader; without one it needs to know soon
    * which members it still reaches.
--- a/packages/dispatch/tests/instance/leader_client.test.ts
+++ b/packages/dispatch/tests/instance/leader_client.test.ts
@@ -119,6 +119,18 @@
     expect(member(2).calls).to.equal(1);
   });
 
+  // Seen on the platform: a leader was paused, and its connections stayed open.
+  it('repeats a call to the next leader when the first one stays silent', async () => {
+    member(0).tell(view(1, 1));
+    member(1).answer = () => {
+      member(0).tell(view(2, 2));
+      return 'silence';
+    };
+    const outcome = await client.call(CALL, 10_000);
+    expect(outcome).to.deep.equal({type: 'replied', reply: NO_JOB});
+    expect(member(2).calls).to.equal(1);
+  });
+
   // Seen on the platform: the first leader had run the job when it was killed.
   it('does not take a refusal as true after an earlier leader may have run the job', async () => {
     member(0).tell(view(1, 1));
