--- a/packages/coordination/tests/replicated_log/voter_replacement.test.ts
+++ b/packages/coordination/tests/replicated_log/voter_replacement.test.ts
@@ -4,9 +4,22 @@
 
 const VOTERS = ['a', 'b', 'c'].map(name => ({name, incarnation: '1'}));
 
-describe('ReplicatedLog that grows', () => {
-  let cluster: TestCluster;
+let cluster: TestCluster;
+
+async function propose(command: string): Promise<void> {
+  const leader = await cluster.untilLeader();
+  const proposed = cluster.logOf(leader.name).propose(command);
+  await cluster.run(500);
+  await proposed;
+}
 
+async function voterNames(): Promise<string[]> {
+  const leader = await cluster.untilLeader();
+  const {voters} = cluster.logOf(leader.name).status();
+  return voters.map(({name}) => name).sort();
+}
+
+describe('ReplicatedLog that grows', () => {
   beforeEach(async () => {
     cluster = new TestCluster({
       mode: 'sync-everything',
@@ -20,19 +33,6 @@
     await cluster.close();
   });
 
-  async function propose(command: string): Promise<void> {
-    const leader = await cluster.untilLeader();
-    const proposed = cluster.logOf(leader.name).propose(command);
-    await cluster.run(500);
-    await proposed;
-  }
-
-  async function voterNames(): Promise<string[]> {
-    const leader = await cluster.untilLeader();
-    const {voters} = cluster.logOf(leader.name).status();
-    return voters.map(({name}) => name).sort();
-  }
-
   it('adds voters up to the target and no further', async () => {
     await cluster.startAll();
     await cluster.untilLeader();
@@ -66,8 +66,6 @@
 });
 
 describe('ReplicatedLog with a member to spare', () => {
-  let cluster: TestCluster;
-
   async function start(replaceSilentAfterMs?: number): Promise<void> {
     cluster = new TestCluster({
       mode: 'sync-everything',
@@ -86,13 +84,6 @@
     await cluster.close();
   });
 
-  async function propose(command: string): Promise<void> {
-    const leader = await cluster.untilLeader();
-    const proposed = cluster.logOf(leader.name).propose(command);
-    await cluster.run(500);
-    await proposed;
-  }
-
   /** Crashes a voter that doesn't lead; returns its name. */
   async function crashFollower(): Promise<string> {
     const leader = (await cluster.untilLeader()).name;
@@ -102,12 +93,6 @@
     return name;
   }
 
-  async function voterNames(): Promise<string[]> {
-    const leader = await cluster.untilLeader();
-    const {voters} = cluster.logOf(leader.name).status();
-    return voters.map(({name}) => name).sort();
-  }
-
   it('puts it in the place of a voter that stays silent', async () => {
     await start(1_000);
     await propose('one');
--- a/packages/verification/src/checks.ts
+++ b/packages/verification/src/checks.ts
@@ -28,6 +28,8 @@
 interface ElectionCheckOptions {
   readonly name: string;
   readonly syncEverything?: boolean;
+  /** Members with a vote at the start; all three by default. */
+  readonly firstVoters?: number;
   readonly maxDepth: number;
   readonly maxCrashes?: number;
   readonly finds?: readonly Fault[];
@@ -39,13 +41,20 @@
 function electionCheck({
   name,
   syncEverything = false,
+  firstVoters = 3,
   maxDepth,
   maxCrashes = 1,
   finds = [],
   prefix = [],
 }: ElectionCheckOptions): Check {
   const bounds = {maxDepth, maxStates: MAX_STATES};
-  const limits = {syncEverything, maxTerm: 2, maxProposals: 1, maxCrashes};
+  const limits = {
+    syncEverything,
+    firstVoters,
+    maxTerm: 2,
+    maxProposals: 1,
+    maxCrashes,
+  };
   return {
     name,
     bounds,
@@ -100,6 +109,15 @@
   'c: become voter of generation 1',
 ];
 
+/** The third member joins a group of two, which lets it grow. */
+const GROWING = [
+  ...ELECTED,
+  'b: receive append of term 1 from a#1',
+  'a: receive append-reply of term 1 from b#1',
+  'c: ask to join',
+  'a: receive join of term 0 from c#1',
+];
+
 /** All checks, in the order in which they run. */
 export const CHECKS: readonly Check[] = [
   electionCheck({
@@ -124,6 +142,18 @@
     finds: ['repaired-at-commit'],
     prefix: REPLACING,
   }),
+  electionCheck({
+    name: 'election, in memory, while the group grows',
+    firstVoters: 2,
+    maxDepth: 9,
+    prefix: GROWING,
+  }),
+  electionCheck({
+    name: 'election, synced, of a group that grows',
+    syncEverything: true,
+    firstVoters: 2,
+    maxDepth: 10,
+  }),
   electionCheck({
     name: 'election, synced',
     syncEverything: true,
--- a/packages/verification/src/election_scenario.ts
+++ b/packages/verification/src/election_scenario.ts
@@ -4,7 +4,7 @@
  * duplication and any order. The last operations of a disk are lost in a crash
  * when they are not synced.
  */
-import {memberKey, sameMember} from '@mustardferry/coordination';
+import {type MemberId, memberKey, sameMember} from '@mustardferry/coordination';
 
 import type {Model, ModelAction} from './explorer.js';
 import type {Fault} from './faults.js';
@@ -26,6 +26,8 @@
 
 /** Bounds of the scenario, besides the exploration's. */
 export interface ElectionScenarioOptions {
+  /** Members with a vote at the start; the others join and get one. */
+  readonly firstVoters: number;
   readonly syncEverything: boolean;
   readonly maxTerm: number;
   readonly maxProposals: number;
@@ -69,16 +71,20 @@
 
   constructor(options: ElectionScenarioOptions) {
     this.options = options;
-    const {syncEverything, fault} = options;
-    const voters = NAMES.map(name => ({name, incarnation: '1'}));
+    const {syncEverything, firstVoters, fault} = options;
+    const all = NAMES.map(name => ({name, incarnation: '1'}));
     this.rules = {
-      cfg: modelConfig({syncEverything, hasDisk: syncEverything}),
-      voters,
+      cfg: modelConfig({
+        syncEverything,
+        hasDisk: syncEverything,
+        targetVoters: NAMES.length,
+      }),
+      voters: all.slice(0, firstVoters),
       acknowledgeBeforeSync: fault === 'acknowledge-before-sync',
     };
     this.initial = {
-      members: voters.map(self =>
-        this.members.idOf(newMember(self, this.rules)),
+      members: all.map(self =>
+        this.members.idOf(registerAll(newMember(self, this.rules), all)),
       ),
       sent: [],
       proposals: 0,
@@ -254,3 +260,14 @@
   };
   return {type: 'receive', from, message};
 }
+
+/** Tells a member of the first life of each name. */
+function registerAll(
+  {core, ...rest}: ModelMember,
+  all: readonly MemberId[],
+): ModelMember {
+  const registered = Object.fromEntries(
+    all.map(({name, incarnation}) => [name, incarnation]),
+  );
+  return {...rest, core: {...core, registered}};
+}
--- a/packages/verification/src/group_model.ts
+++ b/packages/verification/src/group_model.ts
@@ -60,7 +60,7 @@
 
 /** Configuration of the core for models. */
 export function modelConfig(
-  options: Pick<LogCoreConfig, 'syncEverything' | 'hasDisk'>,
+  options: Pick<LogCoreConfig, 'syncEverything' | 'hasDisk' | 'targetVoters'>,
 ): LogCoreConfig {
   return {
     ...options,
