Leave the member that failed for an upstream, also when it is least loaded

Change: the member that failed last for an upstream is passed over while there are others. Result: the new test (a member that answers but does not reach the upstream) fails before and passes after.

--- a/packages/dispatch/src/instance/order_paths.ts
+++ b/packages/dispatch/src/instance/order_paths.ts
@@ -20,6 +20,8 @@
 /** Remembers the path of each upstream; null stands for the leader itself. */
 export class OrderPaths {
   private readonly known = new Map<string, string | null>();
+  /** The member that failed last for an upstream. */
+  private readonly failedPaths = new Map<string, string>();
   private readonly avoidedUntil = new Map<string, number>();
 
   /** @param carriers The members that are connected now, without the leader. */
@@ -35,7 +37,12 @@
     );
     const current = this.known.get(key) ?? null;
     if (usable.some(({address}) => address === current)) return current;
-    const chosen = this.leastLoaded(usable, to.dataCentre);
+    const failed = this.failedPaths.get(key);
+    const others = usable.filter(({address}) => address !== failed);
+    const chosen = this.leastLoaded(
+      others.length > 0 ? others : usable,
+      to.dataCentre,
+    );
     this.known.set(key, chosen);
     return chosen;
   }
@@ -45,13 +52,16 @@
     const key = lifeKey(to);
     const path = this.known.get(key) ?? null;
     this.known.delete(key);
+    this.failedPaths.delete(key);
     return path;
   }
 
-  /** An order had no answer: the next one takes another path. */
-  failed(to: UpstreamTarget): void {
+  /** An order had no answer: the next one takes another path, if any. */
+  failed(to: UpstreamTarget, carrier: string): void {
     const key = lifeKey(to);
-    if (this.known.has(key)) this.known.set(key, null);
+    if (!this.known.has(key)) return;
+    this.known.set(key, null);
+    this.failedPaths.set(key, carrier);
   }
 
   /** A member answered nothing for longer than an order may take. */
--- a/packages/dispatch/src/instance/relayed_port.ts
+++ b/packages/dispatch/src/instance/relayed_port.ts
@@ -108,7 +108,7 @@
     const outcome = await this.exchange(carrier, target, content);
     // The member answers each kind of order with its kind of answer.
     if (outcome.type === 'answered') return outcome.answer as A;
-    this.paths.failed(to);
+    this.paths.failed(to, carrier);
     const text = `${content.kind} through ${carrier}: ${outcome.cause}`;
     throw outcome.type === 'not-sent'
       ? new OrderNotSentError(text)
--- a/packages/dispatch/tests/instance/relayed_port.test.ts
+++ b/packages/dispatch/tests/instance/relayed_port.test.ts
@@ -25,10 +25,12 @@
 
 class CountingPort extends FakePort {
   holds = 0;
+  reaches = true;
   readonly released: UpstreamTarget[] = [];
 
   override hold(to: UpstreamTarget, order: HoldOrder) {
     this.holds++;
+    if (!this.reaches) return Promise.reject(new OrderUnansweredError('cut'));
     return super.hold(to, order);
   }
 
@@ -150,6 +152,15 @@
     expect(await hold(3)).to.equal('held');
   });
 
+  it('takes another path where a member that answers does not reach the upstream', async () => {
+    await holdAll();
+    await holdAll();
+    const cut = ports.get('m3');
+    if (cut) cut.reaches = false;
+    expect(await hold(1)).to.equal(OrderUnansweredError.name);
+    expect(await hold(1)).to.equal('held');
+  });
+
   it('reports the orders of a member whose connection ends', async () => {
     await holdAll();
     silent = new Set(['m3']);
