Log and measure what an owner and an event loop spend their time on

Cause: logs could not tell whether the leader's event loop was late and why, how long scheduling passes, commits and orders took, how many orders had no answer, and why a gateway answered 503 or 504. The type of a call's outcome has a file of its own. The outcome of a call without a reply now tells the obstacle, so three tests of the leader's client expect it besides what they expected before.

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,5 +1,5 @@
+export type {CallObstacle, CallOutcome} from './instance/call_outcome.js';
 export {
-  type CallOutcome,
   LeaderClient,
   type LeaderClientOptions,
 } from './instance/leader_client.js';
--- a/packages/dispatch/src/instance/leader_client.ts
+++ b/packages/dispatch/src/instance/leader_client.ts
@@ -5,6 +5,7 @@
 import type {Call, CallOrigin, GroupView, Reply} from '../messages/calls.js';
 import type {OrderOutcomeMessage} from '../messages/order_messages.js';
 import type {Hello, PeerMessage} from '../messages/peer_messages.js';
+import type {CallObstacle, CallOutcome} from './call_outcome.js';
 
 /** Options of a client. */
 export interface LeaderClientOptions {
@@ -22,16 +23,6 @@
   readonly onDisconnected?: (address: string) => void;
 }
 
-/** Outcome of a call. */
-export type CallOutcome =
-  | {readonly type: 'replied'; readonly reply: Reply}
-  /** No reply in time. */
-  | {
-      readonly type: 'unanswered';
-      /** Whether the call may have had an effect. */
-      readonly mayHaveRun: boolean;
-    };
-
 interface Peer {
   readonly address: string;
   readonly link: FrameLink<PeerMessage>;
@@ -109,20 +100,25 @@
     const takenAt = performance.now();
     const deadline = takenAt + timeoutMs;
     let mayHaveRun = false;
+    let obstacle: CallObstacle = 'none';
     for (;;) {
       const left = deadline - performance.now();
       const hopeless = this.options.local === undefined && this.isIsolated;
-      if (left <= 0 || hopeless) return {type: 'unanswered', mayHaveRun};
+      if (hopeless) obstacle = 'isolated';
+      if (left <= 0 || hopeless) {
+        return {type: 'unanswered', mayHaveRun, obstacle};
+      }
       const ageMs = performance.now() - takenAt;
       const origin = {ageMs, repeated: mayHaveRun};
       const reply = await this.attempt(call, origin, left);
       if (typeof reply === 'object' && isFinal(reply)) {
         // A later leader doesn't know what an earlier one began.
-        const isUntrue = reply.type === 'refused' && mayHaveRun;
-        return isUntrue
-          ? {type: 'unanswered', mayHaveRun}
-          : {type: 'replied', reply};
+        if (reply.type !== 'refused' || !mayHaveRun) {
+          return {type: 'replied', reply};
+        }
+        return {type: 'unanswered', mayHaveRun, obstacle};
       }
+      obstacle = typeof reply === 'object' ? reply.type : reply;
       if (reply === 'lost' || reply === 'timeout') mayHaveRun = true;
       if (typeof reply === 'object' && reply.type === 'interrupted') {
         mayHaveRun = true;
@@ -285,7 +281,9 @@
   }
 }
 
-function isFinal(reply: Reply): boolean {
+function isFinal(
+  reply: Reply,
+): reply is Exclude<Reply, {type: 'not-leader' | 'interrupted'}> {
   return reply.type !== 'not-leader' && reply.type !== 'interrupted';
 }
 
--- a/packages/dispatch/src/instance/member.ts
+++ b/packages/dispatch/src/instance/member.ts
@@ -15,10 +15,11 @@
 import type {Hello, PeerMessage} from '../messages/peer_messages.js';
 import {Owner} from '../owner/owner.js';
 import {sleep} from '../owner/waiting.js';
+import type {CallOutcome} from './call_outcome.js';
 import {FIRST_INCARNATION, firstMembers, firstVoters} from './first_voters.js';
 import {currentView} from './group_view.js';
 import {KnownMembers} from './known_members.js';
-import {type CallOutcome, LeaderClient} from './leader_client.js';
+import {LeaderClient} from './leader_client.js';
 import {LinkTransport} from './link_transport.js';
 import {
   ELECTION_TIMEOUT_MS,
@@ -117,10 +118,6 @@
     return this.owner !== null;
   }
 
-  get view(): GroupView | null {
-    return this.client.view;
-  }
-
   /** Carries a call to the leader, wherever it is. */
   call(call: Call, timeoutMs: number): Promise<CallOutcome> {
     return this.client.call(call, timeoutMs);
--- a/packages/dispatch/src/owner/dispatcher.ts
+++ b/packages/dispatch/src/owner/dispatcher.ts
@@ -15,6 +15,7 @@
 import {FoundRuns} from './found_runs.js';
 import {LingeringRuns} from './lingering_runs.js';
 import {LostRuns} from './lost_runs.js';
+import type {OwnerActivity} from './owner_activity.js';
 import {PlacementPolicy} from './placement.js';
 import {RunStarter} from './run_starter.js';
 import type {Contact, SessionEvents} from './session_types.js';
@@ -30,6 +31,7 @@
 /** Options of the dispatcher. */
 export interface DispatcherOptions {
   readonly board: TaskBoard;
+  readonly activity: OwnerActivity;
   readonly state: DispatchState;
   readonly propose: Propose;
   readonly logger: Logger;
@@ -100,10 +102,9 @@
       lingering,
       onTransientEnd: (job, state) => this.onTransientEnd(job, state),
     });
-    const {outcomes} = this;
     this.lost = new LostRuns({
       ...options,
-      outcomes,
+      outcomes: this.outcomes,
       schedule: () => this.schedule(),
     });
     this.stragglers = new Stragglers({
@@ -200,8 +201,8 @@
   contactChanged(session: UpstreamSession, from: Contact, cause: string): void {
     const {contact, record, runs} = session;
     const {logger, metrics} = this.options;
-    const {id} = record;
-    const fields = {upstream: id, from, to: contact, cause, runs: runs.size};
+    const of = {upstream: record.id, runs: runs.size};
+    const fields = {...of, from, to: contact, cause};
     if (contact === 'live') logger.info('upstream-reached', fields);
     else logger.warn('upstream-not-reached', fields);
     metrics.increment('upstream.contact_changes', 1, {to: contact});
--- a/packages/dispatch/src/owner/owner.ts
+++ b/packages/dispatch/src/owner/owner.ts
@@ -13,8 +13,11 @@
 import type {UpstreamPort} from '../upstreams/upstream_port.js';
 import {CallHandler} from './call_handler.js';
 import {Dispatcher} from './dispatcher.js';
+import {MeasuredPort} from './measured_port.js';
+import {OwnerActivity} from './owner_activity.js';
 import {Proposer} from './proposer.js';
 import {Registrar} from './registrar.js';
+import type {Contact} from './session_types.js';
 import {TaskBoard} from './task_board.js';
 
 /** Options of an owner. Durations are in milliseconds. */
@@ -61,6 +64,7 @@
 export class Owner {
   readonly name = 'owner';
   private readonly board = new TaskBoard();
+  private readonly activity: OwnerActivity;
   private readonly dispatcher: Dispatcher;
   private readonly registrar: Registrar;
   private readonly calls: CallHandler;
@@ -73,13 +77,16 @@
   private sweeps = 0;
 
   constructor(private readonly options: OwnerOptions) {
-    const {log, logger, term, port} = options;
+    const {log, logger, term, port, metrics} = options;
+    this.activity = new OwnerActivity(metrics);
+    const {activity} = this;
     const leaseMs = Math.min(options.leaseMs, LONGEST_LEASE_MS);
     this.leaseMs = leaseMs;
-    this.proposer = new Proposer(log, logger);
+    this.proposer = new Proposer(log, logger, activity);
     const shared = {
       ...options,
       board: this.board,
+      activity,
       propose: (command: Command) => this.proposer.propose(command),
       mayOrder: () => this.mayOrder(),
     };
@@ -96,7 +103,7 @@
       dispatcher,
       token: term,
       leaseMs,
-      port,
+      port: new MeasuredPort(port, activity),
     });
     const {registrar} = this;
     this.calls = new CallHandler({...shared, dispatcher, registrar});
@@ -180,11 +187,29 @@
     if (!this.mayOrder()) return;
     this.registrar.sweep(performance.now());
     this.dispatcher.schedule();
+    this.report();
     this.sweeps++;
     if (this.sweeps % SWEEPS_PER_EXPIRY !== 0) return;
     const before = Date.now() - this.options.keepEndedMs;
     this.proposer.propose({type: 'expire', before}).catch(() => undefined);
   }
+
+  private report(): void {
+    const upstreams: Partial<Record<Contact, number>> = {};
+    let runs = 0;
+    for (const session of this.registrar.all) {
+      upstreams[session.contact] = (upstreams[session.contact] ?? 0) + 1;
+      runs += session.runs.size;
+    }
+    this.options.logger.info('owner-status', {
+      term: this.options.term,
+      openJobs: this.board.openCount,
+      readyTasks: this.board.readyCount,
+      runs,
+      upstreams,
+      ...this.activity.take(),
+    });
+  }
 }
 
 /** Stands in for a queue that a later configuration removed. */
--- /dev/null
+++ b/packages/dispatch/src/owner/owner_activity.ts
@@ -0,0 +1,95 @@
+/** What an owner did since its last report, for logs and metrics. */
+import type {Metrics} from '@mustardferry/runtime';
+
+/** Durations that are summarised, in milliseconds. */
+export type MeasuredStep =
+  /** One pass over the queued tasks of a pool. */
+  | 'pass'
+  /** From the proposal of a command to its commit. */
+  | 'commit'
+  /** From an order to its answer, or to its time limit. */
+  | 'start'
+  | 'stop'
+  | 'hold';
+
+/** Summary of the durations of one step. */
+export interface StepSummary {
+  readonly count: number;
+  readonly meanMs: number;
+  readonly longestMs: number;
+}
+
+/** Counts since the last report. */
+export interface ActivityCounts {
+  /** Tasks looked at in passes. */
+  readonly offered: number;
+  readonly started: number;
+  /** Starts whose job was not expected to meet its objective any more. */
+  readonly startedLate: number;
+  /** Orders without an answer in time. */
+  readonly unanswered: number;
+  /** Orders that surely did not leave. */
+  readonly notSent: number;
+}
+
+/** What was done since the last report. */
+export interface ActivityReport extends ActivityCounts {
+  readonly steps: Readonly<Partial<Record<MeasuredStep, StepSummary>>>;
+}
+
+interface Sum {
+  count: number;
+  totalMs: number;
+  longestMs: number;
+}
+
+const NO_COUNTS: ActivityCounts = {
+  offered: 0,
+  started: 0,
+  startedLate: 0,
+  unanswered: 0,
+  notSent: 0,
+};
+
+/** Sums up durations and counts until they are taken. */
+export class OwnerActivity {
+  private sums = new Map<MeasuredStep, Sum>();
+  private counts: Record<keyof ActivityCounts, number> = {...NO_COUNTS};
+
+  constructor(private readonly metrics: Metrics) {}
+
+  /** Adds a duration in milliseconds. */
+  took(step: MeasuredStep, ms: number): void {
+    this.metrics.timing(`owner.${step}`, ms);
+    let sum = this.sums.get(step);
+    if (!sum) {
+      sum = {count: 0, totalMs: 0, longestMs: 0};
+      this.sums.set(step, sum);
+    }
+    sum.count++;
+    sum.totalMs += ms;
+    sum.longestMs = Math.max(sum.longestMs, ms);
+  }
+
+  count(event: keyof ActivityCounts): void {
+    this.counts[event]++;
+  }
+
+  /** Returns what was added since the last call. */
+  take(): ActivityReport {
+    const steps: Partial<Record<MeasuredStep, StepSummary>> = {};
+    for (const [step, sum] of this.sums) steps[step] = summaryOf(sum);
+    const report = {...this.counts, steps};
+    this.sums = new Map();
+    this.counts = {...NO_COUNTS};
+    return report;
+  }
+}
+
+function summaryOf({count, totalMs, longestMs}: Sum): StepSummary {
+  return {
+    count,
+    meanMs: Math.round((totalMs / count) * 10) / 10,
+    longestMs: Math.round(longestMs),
+  };
+}
--- a/packages/dispatch/src/owner/proposer.ts
+++ b/packages/dispatch/src/owner/proposer.ts
@@ -3,11 +3,15 @@
 import type {Logger} from '@mustardferry/runtime';
 
 import type {Command, CommandResult} from '../jobs/commands.js';
+import type {OwnerActivity} from './owner_activity.js';
 import {sleep} from './waiting.js';
 
 /** Pause in ms between tries while the log takes no proposals. */
 const RETRY_MS = 50;
 
+/** Time in ms beyond which a commit is reported: operators wait a second. */
+const SLOW_COMMIT_MS = 500;
+
 /**
  * Tries again while the log takes no proposals but keeps its leader, for
  * example when a transfer of leadership did not come about.
@@ -18,6 +22,7 @@
   constructor(
     private readonly log: ReplicatedLog<Command, CommandResult>,
     private readonly logger: Logger,
+    private readonly activity: OwnerActivity,
   ) {}
 
   close(): void {
@@ -26,9 +31,12 @@
 
   /** @throws the log's errors, but for a refusal that ends by itself. */
   async propose(command: Command): Promise<CommandResult> {
+    const proposedAt = performance.now();
     for (;;) {
       try {
-        return await this.log.propose(command);
+        const result = await this.log.propose(command);
+        this.committed(command, performance.now() - proposedAt);
+        return result;
       } catch (err) {
         const {type} = command;
         this.logger.warn('command-not-committed', {command: type, err});
@@ -37,4 +45,13 @@
       }
     }
   }
+
+  private committed({type}: Command, tookMs: number): void {
+    this.activity.took('commit', tookMs);
+    if (tookMs < SLOW_COMMIT_MS) return;
+    this.logger.warn('commit-slow', {
+      command: type,
+      tookMs: Math.round(tookMs),
+    });
+  }
 }
--- a/packages/dispatch/src/owner/run_starter.ts
+++ b/packages/dispatch/src/owner/run_starter.ts
@@ -3,6 +3,7 @@
 import type {Logger, Metrics} from '@mustardferry/runtime';
 
 import type {BoardTask, Run} from './board_types.js';
+import type {OwnerActivity} from './owner_activity.js';
 import type {Placement, PlacementPolicy} from './placement.js';
 import {PoolPass} from './pool_pass.js';
 import {type Band, type OfferResult, OVERHEAD_MS} from './ready_queue.js';
@@ -13,6 +14,7 @@
 /** Options of the starter. */
 export interface RunStarterOptions {
   readonly board: TaskBoard;
+  readonly activity: OwnerActivity;
   readonly placement: PlacementPolicy;
   readonly health: OutlierEjection;
   readonly logger: Logger;
@@ -86,9 +88,9 @@
   }
 
   private startReady(): void {
-    const now = performance.now();
     for (const [pool, queue] of this.options.board.readyQueues) {
       if (queue.size === 0) continue;
+      const now = performance.now();
       const sessions = this.sessionsOf(pool);
       const {placement, remoteFactor} = this.options;
       const fastestFactor = placement.fastestFactor(sessions, now);
@@ -99,11 +101,13 @@
         isOffered: task => this.settled || task.job.isNew,
         offer: (task, band) => this.offer(task, band, pass),
       });
+      this.options.activity.took('pass', performance.now() - now);
     }
   }
 
   private offer(task: BoardTask, band: Band, pass: PoolPass): OfferResult {
-    const {placement, onHopeless} = this.options;
+    const {placement, onHopeless, activity} = this.options;
+    activity.count('offered');
     const {admitted, started} = task.job;
     if (band === 'worthless' && !started && !admitted.durable) {
       onHopeless(admitted.id);
@@ -151,6 +155,8 @@
       marginMs: Math.round(marginMs),
     });
     this.options.metrics.increment('starts');
+    this.options.activity.count('started');
+    if (marginMs < 0) this.options.activity.count('startedLate');
     this.options.health.probeStarted(session.key);
     void session.start(run);
   }
--- a/packages/dispatch/src/owner/task_board.ts
+++ b/packages/dispatch/src/owner/task_board.ts
@@ -27,6 +27,13 @@
     return this.jobs.size;
   }
 
+  /** Tasks that wait for an upstream. */
+  get readyCount(): number {
+    let count = 0;
+    for (const queue of this.queues.values()) count += queue.size;
+    return count;
+  }
+
   job(id: string): BoardJob | undefined {
     return this.jobs.get(id);
   }
--- a/packages/dispatch/tests/instance/leader_client.test.ts
+++ b/packages/dispatch/tests/instance/leader_client.test.ts
@@ -140,7 +140,11 @@
     };
     member(2).answer = () => REFUSED;
     const outcome = await client.call(CALL, 10_000);
-    expect(outcome).to.deep.equal({type: 'unanswered', mayHaveRun: true});
+    expect(outcome).to.deep.equal({
+      type: 'unanswered',
+      mayHaveRun: true,
+      obstacle: 'lost',
+    });
   });
 
   it('takes a refusal as true when the members before did not lead', async () => {
@@ -157,14 +161,22 @@
   it('says that a call has not run when no leader was ever found', async () => {
     member(0).tell(view(1, null));
     const outcome = await client.call(CALL, 50);
-    expect(outcome).to.deep.equal({type: 'unanswered', mayHaveRun: false});
+    expect(outcome).to.deep.equal({
+      type: 'unanswered',
+      mayHaveRun: false,
+      obstacle: 'no-leader',
+    });
   });
 
   it('says that a call may have run when its leader stays silent', async () => {
     member(0).tell(view(1, 1));
     member(1).answer = () => 'silence';
     const outcome = await client.call(CALL, 300);
-    expect(outcome).to.deep.equal({type: 'unanswered', mayHaveRun: true});
+    expect(outcome).to.deep.equal({
+      type: 'unanswered',
+      mayHaveRun: true,
+      obstacle: 'timeout',
+    });
   });
 
   it('does not go back to the leader of an older term', async () => {
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -7,6 +7,7 @@
   type LogLevel,
   type LogOutput,
 } from './logger.js';
+export {LoopMonitor, type LoopMonitorOptions} from './loop_monitor.js';
 export {MessageTask} from './message_task.js';
 export {
   createStatsdMetrics,
