Write the first line of each event in a second whatever the log's bound

Change: the first line of each event name in a second passes the bound; the number of event names bounds what this adds.

--- a/packages/runtime/src/limited_logger.ts
+++ b/packages/runtime/src/limited_logger.ts
@@ -38,6 +38,8 @@
 class LimitedLogger implements Logger, Closable {
   readonly name = 'limited-logger';
   private readonly dropped = new Map<string, number>();
+  /** Events written since the last report. */
+  private readonly written = new Set<string>();
   private readonly timer = setInterval(
     () => this.report(),
     REPORT_PERIOD_MS,
@@ -84,11 +86,14 @@
     fields: LogFields | undefined,
   ): void {
     const bucket = level === 'warn' ? this.warnings : this.routine;
-    if (bucket.take()) this.sink[level](event, fields);
+    const isFirst = !this.written.has(event);
+    this.written.add(event);
+    if (bucket.take() || isFirst) this.sink[level](event, fields);
     else this.dropped.set(event, (this.dropped.get(event) ?? 0) + 1);
   }
 
   private report(): void {
+    this.written.clear();
     if (this.dropped.size === 0) return;
     const counts = Object.fromEntries(this.dropped);
     this.dropped.clear();
@@ -97,8 +102,9 @@
 }
 
 /**
- * Limits a logger; what is dropped is counted and reported each second.
- * Errors always pass.
+ * Limits a logger; what is dropped is counted and reported each second. Errors
+ * always pass, and so does the first line of each event in a second: frequent
+ * events must not hide rare ones.
  */
 export function limitLogger(sink: Logger, limit: LogLimit): Logger & Closable {
   return new LimitedLogger(
