Measure processor time and collections over the span of a delay

Cause: event-loop-delayed left out the processor time of the report before, and a collection in a turn without timers (scheduling passes run there) was told of only after the line: its gcMs read 0, and the next span's began at 0. Processor time also covers the period, which the delay does not. Change: both are taken from check to check, the line waits two turns for the collections and tells the length of the span.

--- a/packages/runtime/src/loop_monitor.ts
+++ b/packages/runtime/src/loop_monitor.ts
@@ -19,15 +19,15 @@
 
 /**
  * Reports `event-loop-delayed` when a timer fires late. Processor time close to
- * the delay tells of work in the process itself; little of it tells that the
- * process waited for the processor or for a blocking call.
+ * the span tells of work in the process itself, on any of its threads; little
+ * of it tells that the process waited for the processor or a blocking call.
  */
 export class LoopMonitor implements Closable {
   readonly name = 'loop-monitor';
   private readonly collections: PerformanceObserver;
   private gcMs = 0;
   private cpu = process.cpuUsage();
-  private due = performance.now() + PERIOD_MS;
+  private checkedAt = performance.now();
   private readonly timer = setInterval(() => this.check(), PERIOD_MS).unref();
 
   constructor(private readonly options: LoopMonitorOptions) {
@@ -44,18 +44,30 @@
 
   private check(): void {
     const now = performance.now();
-    const delayMs = Math.max(0, now - this.due);
-    const {user, system} = process.cpuUsage(this.cpu);
+    const cpu = process.cpuUsage();
+    const spanMs = now - this.checkedAt;
+    const delayMs = Math.max(0, spanMs - PERIOD_MS);
+    const usedMicros = cpu.user + cpu.system - this.cpu.user - this.cpu.system;
+    this.checkedAt = now;
+    this.cpu = cpu;
     this.options.metrics.timing('loop.delay', delayMs);
-    if (delayMs >= REPORT_DELAY_MS) {
-      this.options.logger.warn('event-loop-delayed', {
-        delayMs: Math.round(delayMs),
-        cpuMs: Math.round((user + system) / 1_000),
-        gcMs: Math.round(this.gcMs),
-      });
+    if (delayMs < REPORT_DELAY_MS) {
+      this.gcMs = 0;
+      return;
     }
-    this.cpu = process.cpuUsage();
+    // Collections are told of two turns of the event loop later.
+    setImmediate(() =>
+      setImmediate(() => this.report(delayMs, spanMs, usedMicros / 1_000)),
+    );
+  }
+
+  private report(delayMs: number, spanMs: number, cpuMs: number): void {
+    this.options.logger.warn('event-loop-delayed', {
+      delayMs: Math.round(delayMs),
+      spanMs: Math.round(spanMs),
+      cpuMs: Math.round(cpuMs),
+      gcMs: Math.round(this.gcMs),
+    });
     this.gcMs = 0;
-    this.due = now + PERIOD_MS;
   }
 }
--- /dev/null
+++ b/packages/runtime/tests/recording_metrics.ts
@@ -0,0 +1,20 @@
+/** Metrics that keep their samples for tests. */
+import {Metrics} from '../src/metrics.js';
+
+/** Keeps timings and the latest gauges. */
+export class RecordingMetrics extends Metrics {
+  readonly timings: [string, number][] = [];
+  readonly gauges: Record<string, number> = {};
+
+  override increment(): void {}
+
+  override gauge(name: string, value: number): void {
+    this.gauges[name] = value;
+  }
+
+  override timing(name: string, ms: number): void {
+    this.timings.push([name, ms]);
+  }
+
+  override async close(): Promise<void> {}
+}
