Log slow disk writes, causes of elections, and pauses of orders

Cause: lines told neither whether a late commit waited for the disk, nor why an election began or a leadership ended, nor when a leader gave no orders; order-carrier-avoided came once an order, up to 93 lines in half a second.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -95,6 +95,9 @@
   VoteRequest,
 } from './replicated_log/log_messages.js';
 export type {
+  Election,
+  ElectionCause,
+  LeadershipCause,
   LeadershipChange,
   LeadershipListener,
   LogStatus,
--- a/packages/coordination/src/replicated_log/core_runner.ts
+++ b/packages/coordination/src/replicated_log/core_runner.ts
@@ -18,8 +18,9 @@
   readonly cfg: LogCoreConfig;
   readonly start: Omit<CoreStart<C>, 'now' | 'random'>;
   readonly random: () => number;
-  /** Called after each step with the state before it. */
+  /** Called after each step with its event and the state before it. */
   readonly onStep: (
+    event: LogEvent<C>,
     before: LogCoreState<C>,
     effects: readonly LogEffect<C>[],
   ) => void;
@@ -93,7 +94,7 @@
       const event = {...next, ...this.clock()} as LogEvent<C>;
       const {state, effects} = step(before, event, this.options.cfg);
       this.current = state;
-      this.options.onStep(before, effects);
+      this.options.onStep(event, before, effects);
     }
   }
 
--- a/packages/coordination/src/replicated_log/log_options.ts
+++ b/packages/coordination/src/replicated_log/log_options.ts
@@ -45,6 +45,8 @@
   readonly preferredLeader?: string;
   /** Random numbers in [0, 1); `Math.random` by default. */
   readonly random?: () => number;
+  /** Told of each election that this member begins as a follower. */
+  readonly onElection?: (election: Election) => void;
   /** Told when storage or the state machine fails. */
   readonly onFailure?: (err: Error) => void;
 }
@@ -105,10 +107,38 @@
   readonly leaseMs: number;
 }
 
+/** Why an election began. */
+export type ElectionCause =
+  /** No message of a leader within the election timeout. */
+  | 'leader-silent'
+  /** All connections to the leader broke. */
+  | 'leader-lost'
+  /** The leader asked this member to take over. */
+  | 'transfer';
+
+/** Told when a voter that followed begins an election. */
+export interface Election {
+  /** Term that the member stands for. */
+  readonly term: number;
+  readonly cause: ElectionCause;
+}
+
+/** Why this member leads, or leads no more. */
+export type LeadershipCause =
+  | ElectionCause
+  /** No majority answered within the election timeout, the lease is over. */
+  | 'no-quorum'
+  /** Another member has begun a higher term. */
+  | 'higher-term'
+  /** The storage or the state machine failed. */
+  | 'log-failed'
+  | 'closed';
+
 /** Told to leadership listeners. */
 export interface LeadershipChange {
   readonly leader: boolean;
   readonly term: number;
+  readonly cause: LeadershipCause;
 }
 
 /** Called with each change of this member's leadership. */
--- a/packages/coordination/src/replicated_log/replicated_log.ts
+++ b/packages/coordination/src/replicated_log/replicated_log.ts
@@ -1,5 +1,5 @@
 /** Driver of the log's core: timers, storage, messages, the state machine. */
-import type {LogEffect} from './core_events.js';
+import type {LogEffect, LogEvent} from './core_events.js';
 import {CoreRunner} from './core_runner.js';
 import {committedInTerm, lastIndex, type LogCoreState} from './core_state.js';
 import {durableIndex} from './durability.js';
@@ -22,6 +22,7 @@
 import {closedError, proposalRefusal} from './proposal_refusal.js';
 import {Proposals} from './proposals.js';
 import {ReadBarriers} from './read_barriers.js';
+import {RoleChanges} from './role_changes.js';
 import {choosePreferred, chooseSuccessor} from './successors.js';
 
 /** One member of a replicated log. */
@@ -34,6 +35,7 @@
   private readonly proposals = new Proposals<C, R>(() => this.flush());
   private readonly reads: ReadBarriers;
   private readonly leadership = new LeadershipNotifier();
+  private readonly roles: RoleChanges;
   private readonly commitListeners = new Set<() => void>();
   private closed = false;
   private failure: Error | undefined;
@@ -45,6 +47,7 @@
   ) {
     this.options = options;
     this.settings = logSettings(options);
+    this.roles = new RoleChanges(election => options.onElection?.(election));
     this.core = new CoreRunner<C>({
       cfg: this.settings,
       start: {
@@ -56,7 +59,7 @@
         entries: stored?.entries ?? [],
       },
       random: options.random ?? Math.random,
-      onStep: (before, effects) => this.stepped(before, effects),
+      onStep: (event, before, effects) => this.stepped(event, before, effects),
       onTick: () => this.preferLeader(),
     });
     const {core} = this;
@@ -206,14 +209,17 @@
     this.core.close();
     this.proposals.close(cause);
     this.reads.close(this.core.state.leader);
-    this.leadership.update(false, this.core.state.term);
+    const why = cause ? 'log-failed' : 'closed';
+    this.leadership.update(false, this.core.state.term, why);
   }
 
   private stepped(
+    event: LogEvent<C>,
     before: LogCoreState<C>,
     effects: readonly LogEffect<C>[],
   ): void {
     const {state} = this.core;
+    this.roles.stepped(event, before, state);
     for (const effect of effects) this.effects.run(effect);
     if (state.commitIndex !== before.commitIndex) this.applyCommitted();
     if (this.closed) return;
@@ -222,7 +228,8 @@
     if (before.role === 'leader' && !leads) {
       this.proposals.leadershipLost(state.leader);
     }
-    this.leadership.update(committedInTerm(state), state.term);
+    const {cause} = this.roles;
+    this.leadership.update(committedInTerm(state), state.term, cause);
   }
 
   private applyCommitted(): void {
--- a/packages/coordination/src/storage_adapter/disk_log_storage.ts
+++ b/packages/coordination/src/storage_adapter/disk_log_storage.ts
@@ -2,6 +2,7 @@
 import {
   type FileSystem,
   Journal,
+  type JournalWrite,
   SnapshotStore,
   type TornTail,
 } from '@mustardferry/storage';
@@ -26,6 +27,8 @@
   readonly folder: string;
   /** Size of the journal's segment files. Default 16 MiB. */
   readonly segmentBytes?: number;
+  /** Called after each write of votes or entries. */
+  readonly onWritten?: (write: JournalWrite) => void;
 }
 
 async function readSnapshot(
@@ -66,7 +69,7 @@
   static async open<C>(
     options: DiskLogStorageOptions,
   ): Promise<DiskLogStorage<C>> {
-    const {files, folder, segmentBytes} = options;
+    const {files, folder, segmentBytes, onWritten} = options;
     try {
       await files.makeFolder(folder);
       const snapshots = await SnapshotStore.open({
@@ -79,6 +82,7 @@
         folder: `${folder}/journal`,
         onRecord: record => recovery.add(record),
         ...(segmentBytes === undefined ? {} : {segmentBytes}),
+        ...(onWritten === undefined ? {} : {onWritten}),
       });
       const content = recovery.content();
       const positions = recovery.positions();
--- a/packages/dispatch/src/instance/member.ts
+++ b/packages/dispatch/src/instance/member.ts
@@ -1,6 +1,7 @@
 /** An instance that serves control; those with a vote hold the log. */
 import {
-  DiskLogStorage,
+  type DiskLogStorage,
+  type LeadershipChange,
   type LogMessage,
   type MemberId,
   ReplicatedLog,
@@ -21,11 +22,11 @@
 import {KnownMembers} from './known_members.js';
 import {LeaderClient} from './leader_client.js';
 import {LinkTransport} from './link_transport.js';
+import {DiskWatch, openLogStorage} from './log_disk.js';
 import {
   ELECTION_TIMEOUT_MS,
   HEARTBEAT_MS,
   REPLACE_SILENT_AFTER_MS,
-  SEGMENT_BYTES,
   SNAPSHOT_EVERY_ENTRIES,
 } from './log_timing.js';
 import type {MemberOptions} from './member_options.js';
@@ -141,7 +142,7 @@
   }
 
   private async start(folder: DataFolder): Promise<void> {
-    const {address, logger} = this.options;
+    const {address, logger, metrics} = this.options;
     const [host = '', port = '0'] = address.split(':');
     this.server = this.life.own(
       await FrameServer.open<PeerMessage>({
@@ -158,11 +159,8 @@
       this.others.registerVoters(this.log);
       this.tellView();
     });
-    const storage = await DiskLogStorage.open<Command>({
-      files: folder.files,
-      folder: folder.folderFor('log'),
-      segmentBytes: SEGMENT_BYTES,
-    });
+    const watch = new DiskWatch(logger, metrics);
+    const storage = await openLogStorage(folder, watch);
     this.life.defer('storage', () => storage.close());
     void this.joinGroup(folder, storage).catch((err: unknown) =>
       this.failed(err),
@@ -192,11 +190,12 @@
       replaceSilentAfterMs: REPLACE_SILENT_AFTER_MS,
       targetVoters: votersFor(this.options.lossesBorne),
       snapshotEveryEntries: SNAPSHOT_EVERY_ENTRIES,
+      onElection: election => logger.info('election-started', {...election}),
       onFailure: err => this.failed(err),
     });
     this.log = log;
     this.life.defer('log', () => log.close());
-    log.onLeadership(({leader, term}) => this.setLeadership(leader, term));
+    log.onLeadership(change => this.setLeadership(change));
     logger.info('log-opened', {
       ...log.status(),
       incarnation: this.self.incarnation,
@@ -208,9 +207,9 @@
     this.options.onFailure();
   }
 
-  private setLeadership(leads: boolean, term: number): void {
+  private setLeadership({leader: leads, term, cause}: LeadershipChange): void {
     const {options, log} = this;
-    options.logger.info('leadership', {leads, term});
+    options.logger.info('leadership', {leads, term, cause});
     this.owner?.close();
     this.owner = null;
     if (leads && log) {
--- a/packages/dispatch/src/instance/order_paths.ts
+++ b/packages/dispatch/src/instance/order_paths.ts
@@ -33,7 +33,7 @@
     if (!this.known.has(key)) this.known.set(key, null);
     if (this.known.size <= MAX_DIRECT_UPSTREAMS) return null;
     const usable = this.carriers().filter(
-      ({address}) => (this.avoidedUntil.get(address) ?? 0) <= now,
+      ({address}) => !this.isAvoided(address, now),
     );
     const current = this.known.get(key) ?? null;
     if (usable.some(({address}) => address === current)) return current;
@@ -69,6 +69,10 @@
     this.avoidedUntil.set(carrier, now + AVOID_MS);
   }
 
+  isAvoided(carrier: string, now: number): boolean {
+    return (this.avoidedUntil.get(carrier) ?? 0) > now;
+  }
+
   private leastLoaded(
     usable: readonly Carrier[],
     dataCentre: string,
--- a/packages/dispatch/src/instance/relayed_port.ts
+++ b/packages/dispatch/src/instance/relayed_port.ts
@@ -148,7 +148,9 @@
     const heardAt = this.heardAt.get(carrier) ?? 0;
     if (heardAt >= sentAt) return;
     const now = performance.now();
+    const isKnown = this.paths.isAvoided(carrier, now);
     this.paths.avoid(carrier, now);
+    if (isKnown) return;
     const silentMs = Math.round(now - Math.max(heardAt, sentAt));
     this.options.logger.warn('order-carrier-avoided', {carrier, silentMs});
   }
--- a/packages/dispatch/src/owner/owner.ts
+++ b/packages/dispatch/src/owner/owner.ts
@@ -14,6 +14,7 @@
 import {CallHandler} from './call_handler.js';
 import {Dispatcher} from './dispatcher.js';
 import {MeasuredPort} from './measured_port.js';
+import {OrderingWatch, type OrderObstacle} from './ordering_watch.js';
 import {OwnerActivity} from './owner_activity.js';
 import {Proposer} from './proposer.js';
 import {Registrar} from './registrar.js';
@@ -69,6 +70,7 @@
   private readonly registrar: Registrar;
   private readonly calls: CallHandler;
   private readonly proposer: Proposer;
+  private readonly ordering: OrderingWatch;
   private readonly timers: NodeJS.Timeout[] = [];
   private readonly leaseMs: number;
   private unfenced = new Set<string>();
@@ -83,12 +85,13 @@
     const leaseMs = Math.min(options.leaseMs, LONGEST_LEASE_MS);
     this.leaseMs = leaseMs;
     this.proposer = new Proposer(log, logger, activity);
+    this.ordering = new OrderingWatch(logger, term, () => this.obstacle());
     const shared = {
       ...options,
       board: this.board,
       activity,
       propose: (command: Command) => this.proposer.propose(command),
-      mayOrder: () => this.mayOrder(),
+      mayOrder: () => this.ordering.mayOrder(),
     };
     this.dispatcher = new Dispatcher({
       ...shared,
@@ -112,7 +115,7 @@
 
   /** Answers a call. */
   async handle(call: Call, origin: CallOrigin = NEW_CALL): Promise<Reply> {
-    if (!this.mayOrder()) return {type: 'not-leader'};
+    if (!this.ordering.mayOrder()) return {type: 'not-leader'};
     return this.calls.handle(call, origin);
   }
 
@@ -126,15 +129,17 @@
     this.closed = true;
     for (const timer of this.timers) clearTimeout(timer);
     this.proposer.close();
+    this.ordering.close();
     this.dispatcher.close();
     this.calls.close();
   }
 
-  /** Whether this leader's lease holds, so that no other one can exist. */
-  private mayOrder(): boolean {
-    if (this.closed || this.superseded || this.options.wasPaused())
-      return false;
-    return this.options.log.status().leaseMs > 0;
+  /** Orders need this leader's lease, so that no other leader can exist. */
+  private obstacle(): OrderObstacle | null {
+    if (this.closed) return 'closed';
+    if (this.superseded) return 'superseded';
+    if (this.options.wasPaused()) return 'paused';
+    return this.options.log.status().leaseMs > 0 ? null : 'lease-over';
   }
 
   private begin(): void {
@@ -184,7 +189,7 @@
   }
 
   private sweep(): void {
-    if (!this.mayOrder()) return;
+    if (!this.ordering.mayOrder()) return;
     this.registrar.sweep(performance.now());
     this.dispatcher.schedule();
     this.report();
--- a/packages/dispatch/tests/instance/relayed_port.test.ts
+++ b/packages/dispatch/tests/instance/relayed_port.test.ts
@@ -1,8 +1,8 @@
 /** Orders that other members carry: what the leader learns of each. */
-import {createLogger} from '@mustardferry/runtime';
 import fakeTimers, {type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 
+import {RecordingLogger} from '../../../runtime/tests/recording_logger.js';
 import {carryOrder} from '../../src/instance/order_carrier.js';
 import type {Carrier} from '../../src/instance/order_paths.js';
 import {RelayedPort} from '../../src/instance/relayed_port.js';
@@ -48,6 +48,7 @@
   let silent: Set<string>;
   let sent: (OrderMessage | OrdersEndMessage)[];
   let port: RelayedPort;
+  let logger: RecordingLogger;
 
   beforeEach(() => {
     clock = fakeTimers.install({
@@ -68,11 +69,12 @@
     );
     silent = new Set();
     sent = [];
+    logger = new RecordingLogger();
     port = new RelayedPort({
       direct,
       carriers: () => connected,
       send: (carrier, message) => deliver(carrier, message),
-      logger: createLogger('silent'),
+      logger,
     });
   });
 
@@ -171,6 +173,14 @@
     expect(await answer).to.be.instanceOf(OrderUnansweredError);
   });
 
+  // Guards against a line for each order that a silent member carried.
+  it('reports a member that is avoided once', async () => {
+    await holdAll();
+    silent = new Set(['m3']);
+    await Promise.all([1, 3, 5, 7].map(hold));
+    expect(logger.of('order-carrier-avoided')).to.have.length(1);
+  });
+
   it('goes back to the direct way when no member is connected', async () => {
     await holdAll();
     connected = [];
--- a/packages/storage/src/index.ts
+++ b/packages/storage/src/index.ts
@@ -7,7 +7,7 @@
 } from './file_system.js';
 export {Journal, type JournalStats} from './journal.js';
 export type {JournalRecord, TornTail} from './journal_segments.js';
-export type {JournalOptions} from './segment_writer.js';
+export type {JournalOptions, JournalWrite} from './segment_writer.js';
 export {
   type FileOperation,
   SimulatedFileSystem,
--- a/packages/storage/src/segment_writer.ts
+++ b/packages/storage/src/segment_writer.ts
@@ -32,6 +32,16 @@
   readonly checkOnOpen?: 'all' | 'newest';
   /** Called for each record, oldest first, while the journal is opened. */
   readonly onRecord?: (record: JournalRecord) => void;
+  /** Called after each write of records. */
+  readonly onWritten?: (write: JournalWrite) => void;
+}
+
+/** One write of records with its sync. */
+export interface JournalWrite {
+  readonly bytes: number;
+  /** Time in ms until all bytes were written, with that for a new segment. */
+  readonly writeMs: number;
+  readonly syncMs: number;
 }
 
 /** Records with the sequence of the first one. */
@@ -178,10 +188,14 @@
       }
     }
     if (unsynced === 0) return;
+    const startedAt = performance.now();
     if (this.isFull(this.last())) await this.startSegment();
     const segment = this.last();
     await this.active.write(Buffer.concat(chunks, bytes), segment.bytes);
+    const writtenAt = performance.now();
     await this.sync();
+    const syncMs = performance.now() - writtenAt;
+    this.options.onWritten?.({bytes, writeMs: writtenAt - startedAt, syncMs});
     segment.bytes += bytes;
     segment.next += unsynced;
   }
