Serve gauges of open jobs, ready tasks and runs of the owner

Cause: a backlog could be seen in log lines only. Change: three gauges are set once a second with owner-status, and to 0 when the owner ends, as gauges keep their last value.

--- a/packages/dispatch/src/owner/owner.ts
+++ b/packages/dispatch/src/owner/owner.ts
@@ -132,6 +132,8 @@
     this.ordering.close();
     this.dispatcher.close();
     this.calls.close();
+    // Gauges keep their last value, and the next owner is elsewhere.
+    this.gauges(0, 0, 0);
   }
 
   /** Orders need this leader's lease, so that no other leader can exist. */
@@ -206,14 +208,24 @@
       upstreams[session.contact] = (upstreams[session.contact] ?? 0) + 1;
       runs += session.runs.size;
     }
+    const openJobs = this.board.openCount;
+    const readyTasks = this.board.readyCount;
     this.options.logger.info('owner-status', {
       term: this.options.term,
-      openJobs: this.board.openCount,
-      readyTasks: this.board.readyCount,
+      openJobs,
+      readyTasks,
       runs,
       upstreams,
       ...this.activity.take(),
     });
+    this.gauges(openJobs, readyTasks, runs);
+  }
+
+  private gauges(openJobs: number, readyTasks: number, runs: number): void {
+    const {metrics} = this.options;
+    metrics.gauge('owner.open_jobs', openJobs);
+    metrics.gauge('owner.ready_tasks', readyTasks);
+    metrics.gauge('owner.runs', runs);
   }
 }
 
--- a/packages/dispatch/tests/owner_harness.ts
+++ b/packages/dispatch/tests/owner_harness.ts
@@ -1,7 +1,7 @@
 /** An owner on a log of one member, with stand-in upstreams on a fake clock. */
 import {MemoryLogStorage, ReplicatedLog} from '@mustardferry/coordination';
 import {must} from '@mustardferry/model';
-import {createLogger, NullMetrics} from '@mustardferry/runtime';
+import {createLogger, type Metrics, NullMetrics} from '@mustardferry/runtime';
 import fakeTimers, {type Clock} from '@sinonjs/fake-timers';
 
 import type {Command, CommandResult} from '../src/jobs/commands.js';
@@ -52,6 +52,7 @@
   readonly upstreams: FakeUpstream[];
   state = new DispatchState();
   paused = false;
+  metrics: Metrics = new NullMetrics();
   owner: Owner | null = null;
   private readonly storage = new MemoryLogStorage<Command>({syncMs: 9});
   private readonly port: FakePort;
@@ -200,7 +201,7 @@
       state: this.state,
       port: this.port,
       logger: createLogger('silent'),
-      metrics: new NullMetrics(),
+      metrics: this.metrics,
       term,
       leaseMs: FAKE_LEASE_MS,
       remoteFactor: 2,
