Keep a leader that was late itself, and read before an election

No machine had failed.

Cause: a member took its own delay for the silence of others. The next leader took over all sessions and repeated calls at once, was late for that reason, and gave up as well.

A leader now steps down after two election timeouts without a quorum, so that a late one still sends a round and hears the answers. Nothing moves in what is safe: its lease, and with it all orders, ends after one as before. The timer of the log also lets the input of its turn be read before it is taken as a tick, so that a late follower does not campaign beside a heartbeat in its socket.

--- a/packages/coordination/src/replicated_log/core_runner.ts
+++ b/packages/coordination/src/replicated_log/core_runner.ts
@@ -1,4 +1,6 @@
 /** Feeds events to the core one at a time, and ticks at its deadlines. */
+import {setImmediate} from 'node:timers';
+
 import type {LogEffect, LogEvent} from './core_events.js';
 import {
   type CoreStart,
@@ -75,11 +77,7 @@
     if (this.timer) clearTimeout(this.timer);
     const delay = Math.max(0, Math.ceil(due - performance.now()));
     this.timerAt = due;
-    this.timer = setTimeout(() => {
-      this.timer = null;
-      this.dispatch({type: 'tick'});
-      this.options.onTick();
-    }, delay);
+    this.timer = setTimeout(() => this.tickAfterReading(), delay);
   }
 
   close(): void {
@@ -87,6 +85,18 @@
     if (this.timer) clearTimeout(this.timer);
   }
 
+  /**
+   * Timers run before input is read, so after a late turn of the event loop
+   * the messages that break a silence may not have been taken yet.
+   */
+  private tickAfterReading(): void {
+    setImmediate(() => {
+      this.timer = null;
+      this.dispatch({type: 'tick'});
+      if (!this.closed) this.options.onTick();
+    });
+  }
+
   private drain(): void {
     for (let next = this.events.shift(); next; next = this.events.shift()) {
       if (this.closed) return;
--- a/packages/coordination/src/replicated_log/leases.ts
+++ b/packages/coordination/src/replicated_log/leases.ts
@@ -13,16 +13,40 @@
   readonly cfg: LogCoreConfig;
 }
 
+/** Election timeouts without a quorum after which a leader steps down. */
+const STEP_DOWN_TIMEOUTS = 2;
+
 /** Whether a quorum answered within the election timeout. */
 export function quorumIsActive<C>(
+  state: LogCoreState<C>,
+  clock: Clock,
+): boolean {
+  return quorumAnsweredWithin(state, clock.cfg.electionTimeoutMs, clock.now);
+}
+
+/**
+ * Whether a leader is to give up. Its lease ends after one election timeout;
+ * the second one leaves a leader that was late itself the time for a round, so
+ * that its own delay does not cost the group an election.
+ */
+export function quorumIsLost<C>(
   state: LogCoreState<C>,
   {now, cfg}: Clock,
+): boolean {
+  const limitMs = STEP_DOWN_TIMEOUTS * cfg.electionTimeoutMs;
+  return !quorumAnsweredWithin(state, limitMs, now);
+}
+
+function quorumAnsweredWithin<C>(
+  state: LogCoreState<C>,
+  limitMs: number,
+  now: number,
 ): boolean {
   return hasQuorum(state.config, member => {
     if (sameMember(member, state.self)) return true;
     const ackedAt = state.progress[memberKey(member)]?.ackedAt ?? -Infinity;
     const since = Math.max(ackedAt, state.leaderSince);
-    return now - since < cfg.electionTimeoutMs;
+    return now - since < limitMs;
   });
 }
 
--- a/packages/coordination/src/replicated_log/step.ts
+++ b/packages/coordination/src/replicated_log/step.ts
@@ -23,7 +23,7 @@
   receiveVoteRequest,
 } from './elections.js';
 import {acknowledge, receiveAppend, receiveInstall} from './following.js';
-import {completeReads, quorumIsActive} from './leases.js';
+import {completeReads, quorumIsLost} from './leases.js';
 import type {LogMessage} from './log_messages.js';
 import {type MemberId, memberKey, sameMember} from './members.js';
 import {
@@ -91,7 +91,7 @@
       ? campaign(ctx, state, 'pre-vote')
       : state;
   }
-  if (!quorumIsActive(state, ctx)) {
+  if (quorumIsLost(state, ctx)) {
     return becomeFollower(ctx, state, state.term, null);
   }
   const expired = state.transfer && ctx.now >= state.transfer.deadline;
