Find upstreams in an index, not by a look at all of them per task

What callers saw: a queue slowed the leader, which lengthened the queue.

Cause: a pass looked at each upstream of the pool for each task offered, and summed up capacity and speeds of the pool anew; so did the review of each slow run.

Each pool now has an index: sums of capacity, and for all upstreams and for each label a search tree by speed and free capacity, changed with each start and end.

--- a/packages/dispatch/src/owner/capacity_use.ts
+++ b/packages/dispatch/src/owner/capacity_use.ts
@@ -1,22 +1,32 @@
 /** Capacity of an upstream that runs take. */
 import type {Step} from '../jobs/job_types.js';
 import type {UpstreamRecord} from '../upstreams/upstream_types.js';
+import type {Room} from './room_tree.js';
 
 /** Counts what is taken; runs that are being stopped still count. */
 export class CapacityUse {
   private cpuMillis = 0;
   private memoryMb = 0;
   private accelerators = 0;
+  /** Told after each change. */
+  onChange: () => void = () => undefined;
 
   constructor(private record: UpstreamRecord) {}
 
   /** Takes a changed announcement. */
   update(record: UpstreamRecord): void {
     this.record = record;
+    this.onChange();
   }
 
-  get freeCpuMillis(): number {
-    return this.record.cpuMillis - this.cpuMillis;
+  /** Resources that no run takes. */
+  get free(): Room {
+    const {record} = this;
+    return {
+      cpuMillis: record.cpuMillis - this.cpuMillis,
+      memoryMb: record.memoryMb - this.memoryMb,
+      accelerators: record.accelerators - this.accelerators,
+    };
   }
 
   get usedCpuMillis(): number {
@@ -36,11 +46,13 @@
     this.cpuMillis += step.cpuMillis;
     this.memoryMb += step.memoryMb;
     this.accelerators += step.accelerators;
+    this.onChange();
   }
 
   remove(step: Step): void {
     this.cpuMillis -= step.cpuMillis;
     this.memoryMb -= step.memoryMb;
     this.accelerators -= step.accelerators;
+    this.onChange();
   }
 }
--- a/packages/dispatch/src/owner/dispatcher.ts
+++ b/packages/dispatch/src/owner/dispatcher.ts
@@ -88,11 +88,10 @@
       lingering,
       isSettled: () => this.isSettled,
     });
-    const placement = new PlacementPolicy(speed, health);
+    const placement = new PlacementPolicy(health, options.remoteFactor);
+    const shared = {...options, placement, speed, health};
     this.starter = new RunStarter({
-      ...options,
-      placement,
-      health,
+      ...shared,
       onHopeless: job => this.onHopeless(job),
     });
     this.outcomes = new TaskOutcomes({
@@ -108,11 +107,8 @@
       schedule: () => this.schedule(),
     });
     this.stragglers = new Stragglers({
-      ...options,
-      placement,
-      speed,
-      health,
-      sessionsOf: pool => this.starter.sessionsOf(pool),
+      ...shared,
+      pool: name => this.starter.pool(name),
       avoid: (task, session) => this.outcomes.avoid(task, session),
     });
   }
@@ -207,7 +203,7 @@
     else logger.warn('upstream-not-reached', fields);
     metrics.increment('upstream.contact_changes', 1, {to: contact});
     if (contact === 'lost') this.found.endedAll(session);
-    if (contact === 'live') this.schedule();
+    if (contact === 'live') this.starter.reached(session);
   }
 
   async ended(
--- a/packages/dispatch/src/owner/owner_activity.ts
+++ b/packages/dispatch/src/owner/owner_activity.ts
@@ -23,6 +23,8 @@
 export interface ActivityCounts {
   /** Tasks looked at in passes. */
   readonly offered: number;
+  /** Upstreams looked at for the tasks. */
+  readonly examined: number;
   readonly started: number;
   /** Starts whose job was not expected to meet its objective any more. */
   readonly startedLate: number;
@@ -45,6 +47,7 @@
 
 const NO_COUNTS: ActivityCounts = {
   offered: 0,
+  examined: 0,
   started: 0,
   startedLate: 0,
   unanswered: 0,
--- a/packages/dispatch/src/owner/placement.ts
+++ b/packages/dispatch/src/owner/placement.ts
@@ -2,10 +2,10 @@
 import type {OutlierEjection} from '@mustardferry/decisions';
 
 import type {BoardTask} from './board_types.js';
-import type {PoolPass} from './pool_pass.js';
+import type {PoolIndex, RatedSession} from './pool_index.js';
 import {OVERHEAD_MS} from './ready_queue.js';
+import type {RoomTree} from './room_tree.js';
 import type {UpstreamSession} from './upstream_session.js';
-import type {UpstreamSpeed} from './upstream_speed.js';
 
 /** Margin in milliseconds below which an upstream counts as too slow. */
 const MIN_MARGIN_MS = 15;
@@ -21,6 +21,17 @@
   readonly marginMs: number;
 }
 
+/** A search for an upstream. */
+export interface Search {
+  readonly pool: PoolIndex;
+  readonly now: number;
+  /** An upstream that isn't to be chosen. */
+  readonly except?: UpstreamSession;
+}
+
+/** Whether an upstream may take a task, and if not, whether any. */
+type Eligibility = 'eligible' | 'not-this-task' | 'no-task';
+
 /**
  * Prefers, while capacity is scarce, the slowest upstream that still meets the
  * objective, which leaves the fast ones to long tasks; otherwise the one that
@@ -28,88 +39,124 @@
  */
 export class PlacementPolicy {
   constructor(
-    private readonly speed: UpstreamSpeed,
     private readonly health: OutlierEjection,
+    /** Time factor of tasks whose data is in another rack. */
+    private readonly remoteFactor: number,
   ) {}
 
-  /** Time factor of the fastest upstream, busy or not; 1 without any. */
-  fastestFactor(sessions: readonly UpstreamSession[], now: number): number {
-    let fastest = Infinity;
-    for (const {key} of sessions) {
-      fastest = Math.min(fastest, this.speed.factor(key, now));
-    }
-    return Number.isFinite(fastest) ? fastest : 1;
+  choose(task: BoardTask, search: Search): Placement | null {
+    const {label, dataRack} = task.step;
+    const {pool} = search;
+    const isNear = dataRack === '';
+    const found = this.pick(task, search, pool.tree(label), isNear);
+    if (isNear) return found;
+    const near = this.pick(task, search, pool.tree(dataRack), true);
+    if (!found || !near) return found ?? near;
+    return isBetter(near, found, isScarce(pool)) ? near : found;
   }
 
-  choose(task: BoardTask, pass: PoolPass): Placement | null {
-    if (pass.isFullFor(task)) return null;
-    const scarce = pass.usedShare > SCARCE_SHARE;
-    let best: Placement | null = null;
-    for (const session of pass.sessions) {
-      if (!this.isEligible(task, session, pass.now)) continue;
-      const found = this.evaluate(task, session, pass);
-      if (!best || isBetter(found, best, scarce)) best = found;
+  private pick(
+    task: BoardTask,
+    search: Search,
+    tree: RoomTree<RatedSession> | undefined,
+    isNear: boolean,
+  ): Placement | null {
+    if (!tree) return null;
+    const {step, job} = task;
+    const {pool, now} = search;
+    if (isScarce(pool)) {
+      const declaredMs = step.declaredMs * (isNear ? 1 : this.remoteFactor);
+      const leftMs = job.objectiveMs - (now - job.since) - OVERHEAD_MS;
+      let to = tree.lastWithin((leftMs - MIN_MARGIN_MS) / declaredMs);
+      while ((to = tree.previous(step, to)) >= 0) {
+        const found = this.takeLike(task, search, tree, to);
+        if (found) return found;
+        to--;
+      }
     }
-    if (!best) pass.noteFull(task);
-    return best;
+    let from = 0;
+    while ((from = tree.next(step, from)) >= 0) {
+      const found = this.takeLike(task, search, tree, from);
+      if (found) return found;
+      from++;
+    }
+    return null;
+  }
+
+  /** Takes the upstream at a position, or a roomier one as fast. */
+  private takeLike(
+    task: BoardTask,
+    search: Search,
+    tree: RoomTree<RatedSession>,
+    position: number,
+  ): Placement | null {
+    const roomiest = tree.roomiestLike(position);
+    const found = this.take(task, search, tree, roomiest);
+    if (found || roomiest === position) return found;
+    return this.take(task, search, tree, position);
   }
 
-  private isEligible(
+  private take(
     task: BoardTask,
+    search: Search,
+    tree: RoomTree<RatedSession>,
+    position: number,
+  ): Placement | null {
+    const rated = tree.at(position);
+    if (!rated) return null;
+    const {session} = rated;
+    const {pool, now, except} = search;
+    pool.noteExamined();
+    const eligibility =
+      session === except
+        ? 'not-this-task'
+        : this.eligibility(task, session, now);
+    if (eligibility === 'no-task') pool.hide(session);
+    return eligibility === 'eligible' ? this.evaluate(task, rated, now) : null;
+  }
+
+  private eligibility(
+    {step, avoid, id}: BoardTask,
     session: UpstreamSession,
     now: number,
-  ): boolean {
-    const {step} = task;
-    if (!session.runs.use.fits(step) || !session.accepts) return false;
-    if (session.fullUntil > now || task.avoid.includes(session.key)) {
-      return false;
+  ): Eligibility {
+    const {runs, record, key} = session;
+    if (!session.accepts || session.fullUntil > now) return 'no-task';
+    const {allowance} = this.health.verdict(key, now);
+    if (runs.size >= allowance) return 'no-task';
+    if (!runs.use.fits(step) || avoid.includes(key)) return 'not-this-task';
+    if (step.label !== '' && !record.labels.includes(step.label)) {
+      return 'not-this-task';
     }
-    const {labels} = session.record;
-    if (step.label !== '' && !labels.includes(step.label)) return false;
-    if (
-      step.maxPerUpstream > 0 &&
-      runsOfStep(task, session) >= step.maxPerUpstream
-    ) {
-      return false;
-    }
-    const {allowance} = this.health.verdict(session.key, now);
-    return session.runs.size < allowance;
+    const isFull =
+      step.maxPerUpstream > 0 && runs.countOfStep(id) >= step.maxPerUpstream;
+    return isFull ? 'not-this-task' : 'eligible';
   }
 
   private evaluate(
-    task: BoardTask,
-    session: UpstreamSession,
-    {now, remoteFactor}: PoolPass,
+    {step, job}: BoardTask,
+    {session, factor}: RatedSession,
+    now: number,
   ): Placement {
-    const {step, job} = task;
-    const near =
+    const isNear =
       step.dataRack === '' || session.record.labels.includes(step.dataRack);
-    const factor =
-      this.speed.factor(session.key, now) * (near ? 1 : remoteFactor);
-    const expectedMs = step.declaredMs * factor;
+    const distance = isNear ? 1 : this.remoteFactor;
+    const expectedMs = step.declaredMs * factor * distance;
     const elapsedMs = now - job.since;
     const marginMs = job.objectiveMs - elapsedMs - expectedMs - OVERHEAD_MS;
     return {session, expectedMs, marginMs};
   }
 }
 
+function isScarce(pool: PoolIndex): boolean {
+  return pool.usedShare > SCARCE_SHARE;
+}
+
 function isBetter(a: Placement, b: Placement, scarce: boolean): boolean {
   const aMeets = a.marginMs >= MIN_MARGIN_MS;
   const bMeets = b.marginMs >= MIN_MARGIN_MS;
   if (aMeets !== bMeets) return aMeets;
-  if (a.expectedMs !== b.expectedMs) {
-    return scarce && aMeets
-      ? a.expectedMs > b.expectedMs
-      : a.expectedMs < b.expectedMs;
-  }
-  return a.session.runs.use.freeCpuMillis > b.session.runs.use.freeCpuMillis;
-}
-
-function runsOfStep(task: BoardTask, session: UpstreamSession): number {
-  let count = 0;
-  for (const run of session.runs.all) {
-    const {id} = run.task;
-    if (id.job === task.id.job && id.step === task.id.step) count++;
-  }
-  return count;
+  return scarce && aMeets
+    ? a.expectedMs > b.expectedMs
+    : a.expectedMs < b.expectedMs;
 }
--- a/packages/dispatch/src/owner/run_starter.ts
+++ b/packages/dispatch/src/owner/run_starter.ts
@@ -4,22 +4,23 @@
 
 import type {BoardTask, Run} from './board_types.js';
 import type {OwnerActivity} from './owner_activity.js';
-import type {Placement, PlacementPolicy} from './placement.js';
-import {PoolPass} from './pool_pass.js';
+import type {Placement, PlacementPolicy, Search} from './placement.js';
+import {PoolIndex, REFRESH_MS} from './pool_index.js';
 import {type Band, type OfferResult, OVERHEAD_MS} from './ready_queue.js';
 import {RunProgress} from './run_progress.js';
 import type {TaskBoard} from './task_board.js';
 import type {UpstreamSession} from './upstream_session.js';
+import type {UpstreamSpeed} from './upstream_speed.js';
 
 /** Options of the starter. */
 export interface RunStarterOptions {
   readonly board: TaskBoard;
   readonly activity: OwnerActivity;
   readonly placement: PlacementPolicy;
+  readonly speed: UpstreamSpeed;
   readonly health: OutlierEjection;
   readonly logger: Logger;
   readonly metrics: Metrics;
-  readonly remoteFactor: number;
   /** Told of a job that is worth nothing any more and has not begun. */
   readonly onHopeless: (job: string) => void;
   readonly mayOrder: () => boolean;
@@ -36,7 +37,8 @@
 
 /** Owns the pools of upstreams. */
 export class RunStarter {
-  private readonly pools = new Map<string, UpstreamSession[]>();
+  private readonly pools = new Map<string, PoolIndex>();
+  private retry: NodeJS.Timeout | null = null;
   private scheduled = false;
   private settled = false;
   private closed = false;
@@ -48,12 +50,17 @@
   }
 
   get sessions(): readonly UpstreamSession[] {
-    return [...this.pools.values()].flat();
+    return [...this.pools.values()].flatMap(({sessions}) => [...sessions]);
   }
 
-  /** Sessions that may take tasks of a pool. */
-  sessionsOf(pool: string): readonly UpstreamSession[] {
-    return (this.pools.get(pool) ?? []).filter(session => session.accepts);
+  /** Upstreams of a pool. */
+  pool(name: string): PoolIndex {
+    let pool = this.pools.get(name);
+    if (!pool) {
+      pool = new PoolIndex(this.options.speed, this.options.activity);
+      this.pools.set(name, pool);
+    }
+    return pool;
   }
 
   /** Allows the start of jobs that an earlier owner may have started. */
@@ -64,17 +71,21 @@
 
   close(): void {
     this.closed = true;
+    if (this.retry) clearTimeout(this.retry);
   }
 
   add(session: UpstreamSession): void {
-    const {pool} = session.record;
-    this.pools.set(pool, [...(this.pools.get(pool) ?? []), session]);
+    this.pool(session.record.pool).add(session);
   }
 
   remove(session: UpstreamSession): void {
-    const {pool} = session.record;
-    const others = (this.pools.get(pool) ?? []).filter(s => s !== session);
-    this.pools.set(pool, others);
+    this.pool(session.record.pool).remove(session);
+  }
+
+  /** Notes that an upstream may take runs again. */
+  reached(session: UpstreamSession): void {
+    this.pool(session.record.pool).invalidate();
+    this.schedule();
   }
 
   /** Starts what fits, once all messages that have arrived are taken. */
@@ -88,24 +99,32 @@
   }
 
   private startReady(): void {
-    for (const [pool, queue] of this.options.board.readyQueues) {
+    for (const [name, queue] of this.options.board.readyQueues) {
       if (queue.size === 0) continue;
       const now = performance.now();
-      const sessions = this.sessionsOf(pool);
-      const {placement, remoteFactor} = this.options;
-      const fastestFactor = placement.fastestFactor(sessions, now);
-      const pass = new PoolPass({sessions, now, remoteFactor, fastestFactor});
+      const pool = this.pool(name);
+      pool.refresh(now);
+      const search = {pool, now};
       queue.offerAll({
         now,
-        fastestFactor,
+        fastestFactor: pool.fastestFactor,
         isOffered: task => this.settled || task.job.isNew,
-        offer: (task, band) => this.offer(task, band, pass),
+        offer: (task, band) => this.offer(task, band, search),
       });
+      if (queue.size > 0 && pool.isPartial) this.scheduleRetry();
       this.options.activity.took('pass', performance.now() - now);
     }
   }
 
-  private offer(task: BoardTask, band: Band, pass: PoolPass): OfferResult {
+  /** Upstreams that were left out may take runs again without an event. */
+  private scheduleRetry(): void {
+    this.retry ??= setTimeout(() => {
+      this.retry = null;
+      this.schedule();
+    }, REFRESH_MS);
+  }
+
+  private offer(task: BoardTask, band: Band, search: Search): OfferResult {
     const {placement, onHopeless, activity} = this.options;
     activity.count('offered');
     const {admitted, started} = task.job;
@@ -113,20 +132,19 @@
       onHopeless(admitted.id);
       return 'dropped';
     }
-    const {sessions} = pass;
-    if (sessions.length === 0) return 'full';
+    const {pool, now} = search;
+    if (pool.size === 0) return 'full';
     const isLate = band !== 'in-time';
-    if (isLate && pass.usedShare > MAX_SHARE_WITH_LATE) return 'full';
-    const found = placement.choose(task, pass);
+    if (isLate && pool.usedShare > MAX_SHARE_WITH_LATE) return 'full';
+    const found = placement.choose(task, search);
     if (!found) {
-      if (sessions.length <= SMALL_POOL) task.avoid = [];
+      if (pool.size <= SMALL_POOL) task.avoid = [];
       return 'passed-over';
     }
-    if (found.marginMs < 0 && isInTimeElsewhere(task, pass)) {
+    if (found.marginMs < 0 && isInTimeElsewhere(task, search)) {
       return 'passed-over';
     }
-    pass.noteStart(task);
-    this.start(task, found, pass.now);
+    this.start(task, found, now);
     return 'placed';
   }
 
@@ -165,7 +183,7 @@
 /** Whether a task would end in time on the fastest upstream. */
 function isInTimeElsewhere(
   {job, step}: BoardTask,
-  {now, fastestFactor}: PoolPass,
+  {now, pool: {fastestFactor}}: Search,
 ): boolean {
   const endMs = now - job.since + step.declaredMs * fastestFactor + OVERHEAD_MS;
   return endMs <= job.objectiveMs;
--- a/packages/dispatch/src/owner/run_table.ts
+++ b/packages/dispatch/src/owner/run_table.ts
@@ -1,5 +1,5 @@
 /** Runs that the owner believes to be on one upstream. */
-import {taskKey} from '../jobs/job_types.js';
+import {type TaskId, taskKey} from '../jobs/job_types.js';
 import type {ActiveRun} from '../upstreams/upstream_port.js';
 import type {UpstreamRecord} from '../upstreams/upstream_types.js';
 import type {Run} from './board_types.js';
@@ -32,6 +32,15 @@
     return [...this.runs.values()];
   }
 
+  /** Runs of tasks of one step. */
+  countOfStep({job, step}: TaskId): number {
+    let count = 0;
+    for (const {task} of this.runs.values()) {
+      if (task.id.job === job && task.id.step === step) count++;
+    }
+    return count;
+  }
+
   get(task: string): Run | undefined {
     return this.runs.get(task);
   }
--- a/packages/dispatch/src/owner/stragglers.ts
+++ b/packages/dispatch/src/owner/stragglers.ts
@@ -4,7 +4,7 @@
 
 import type {BoardTask, Run} from './board_types.js';
 import type {PlacementPolicy} from './placement.js';
-import {PoolPass} from './pool_pass.js';
+import type {PoolIndex} from './pool_index.js';
 import type {UpstreamSession} from './upstream_session.js';
 import type {UpstreamSpeed} from './upstream_speed.js';
 
@@ -15,9 +15,7 @@
   readonly health: OutlierEjection;
   readonly logger: Logger;
   readonly metrics: Metrics;
-  readonly remoteFactor: number;
-  /** Sessions that may take the tasks of a pool. */
-  readonly sessionsOf: (pool: string) => readonly UpstreamSession[];
+  readonly pool: (name: string) => PoolIndex;
   readonly avoid: (task: BoardTask, session: UpstreamSession) => void;
 }
 
@@ -49,7 +47,7 @@
 
   private reviewRun(run: Run, remainingMs: number, now: number): void {
     const {task, session} = run;
-    const {speed, placement, sessionsOf, remoteFactor} = this.options;
+    const {speed, placement} = this.options;
     const {declaredMs} = task.step;
     const expectedMs = declaredMs * speed.factor(session.key, now);
     const projectedMs = now - run.startedAt + remainingMs;
@@ -59,14 +57,9 @@
     }
     const restarts = this.restarts.get(task) ?? 0;
     if (restarts >= MAX_RESTARTS) return;
-    const sessions = sessionsOf(task.job.admitted.pool).filter(
-      other => other !== session,
-    );
-    const fastestFactor = placement.fastestFactor(sessions, now);
-    const found = placement.choose(
-      task,
-      new PoolPass({sessions, now, remoteFactor, fastestFactor}),
-    );
+    const pool = this.options.pool(task.job.admitted.pool);
+    pool.refresh(now);
+    const found = placement.choose(task, {pool, now, except: session});
     if (!found) return;
     const elsewhereMs = found.expectedMs + STOP_MS;
     if (remainingMs < MIN_GAIN_FACTOR * elsewhereMs) return;
--- a/packages/dispatch/tests/owner_harness.ts
+++ b/packages/dispatch/tests/owner_harness.ts
@@ -1,7 +1,12 @@
 /** An owner on a log of one member, with stand-in upstreams on a fake clock. */
 import {MemoryLogStorage, ReplicatedLog} from '@mustardferry/coordination';
 import {must} from '@mustardferry/model';
-import {createLogger, type Metrics, NullMetrics} from '@mustardferry/runtime';
+import {
+  createLogger,
+  type Logger,
+  type Metrics,
+  NullMetrics,
+} from '@mustardferry/runtime';
 import fakeTimers, {type Clock} from '@sinonjs/fake-timers';
 
 import type {Command, CommandResult} from '../src/jobs/commands.js';
@@ -60,7 +65,10 @@
   private readonly submitted = new Set<string>();
   private readonly sequences = new Map<string, number>();
 
-  constructor(count: number) {
+  constructor(
+    count: number,
+    private readonly logger: Logger = createLogger('silent'),
+  ) {
     this.clock = fakeTimers.install({
       now: 1_000_000,
       toFake: [
@@ -200,7 +208,7 @@
       log,
       state: this.state,
       port: this.port,
-      logger: createLogger('silent'),
+      logger: this.logger,
       metrics: this.metrics,
       term,
       leaseMs: FAKE_LEASE_MS,
