Wait for late outcomes of carried orders; repeat only holds, within bounds

Cause: an order through a member counted as unanswered 40 ms after its own limit, though one lost packet delays all that follows on the connection by 200 ms and more. Each late order left its member for 1 s, moved upstreams to other members for good and, where all were avoided, to the leader itself; a late start cost a hold, a stop and a second start.

Change: an outcome is waited for until the connection to the member ends, with a backstop beyond that silence. While a member is quiet, orders take detours that are spread over the others, and return once it tells something. Members that carried orders of an upstream before are told of its end as well.

--- a/packages/dispatch/src/instance/order_paths.ts
+++ b/packages/dispatch/src/instance/order_paths.ts
@@ -14,73 +14,112 @@
  */
 const MAX_DIRECT_UPSTREAMS = 64;
 
-/** Time in ms for which a member that left an order unanswered is avoided. */
-const AVOID_MS = 1_000;
+/** What is remembered of the way to one upstream. */
+interface Way {
+  /** The member that carries the orders; null for the leader itself. */
+  path: string | null;
+  /** The member that failed last. */
+  failed: string | null;
+  /** Members that hold connections to the upstream. */
+  readonly used: Set<string>;
+}
 
-/** Remembers the path of each upstream; null stands for the leader itself. */
+/** Remembers the path of each upstream. */
 export class OrderPaths {
-  private readonly known = new Map<string, string | null>();
-  /** The member that failed last for an upstream. */
-  private readonly failedPaths = new Map<string, string>();
-  private readonly avoidedUntil = new Map<string, number>();
+  private readonly ways = new Map<string, Way>();
+  /** Members whose answers are overdue; nothing was heard of them since. */
+  private readonly quiet = new Set<string>();
 
   /** @param carriers The members that are connected now, without the leader. */
   constructor(private readonly carriers: () => readonly Carrier[]) {}
 
-  /** The path for the next order; stays the same while it works. */
-  choose(to: UpstreamTarget, now: number): string | null {
-    const key = lifeKey(to);
-    if (!this.known.has(key)) this.known.set(key, null);
-    if (this.known.size <= MAX_DIRECT_UPSTREAMS) return null;
-    const usable = this.carriers().filter(
-      ({address}) => !this.isAvoided(address, now),
-    );
-    const current = this.known.get(key) ?? null;
-    if (usable.some(({address}) => address === current)) return current;
-    const failed = this.failedPaths.get(key);
-    const others = usable.filter(({address}) => address !== failed);
-    const chosen = this.leastLoaded(
-      others.length > 0 ? others : usable,
-      to.dataCentre,
-    );
-    this.known.set(key, chosen);
-    return chosen;
+  /** Upstreams that have a path. */
+  get size(): number {
+    return this.ways.size;
+  }
+
+  /**
+   * The path for the next order. It stays the same while its member is
+   * connected; while that is quiet, orders take a detour.
+   */
+  choose(to: UpstreamTarget): string | null {
+    const way = this.wayTo(to);
+    if (this.ways.size <= MAX_DIRECT_UPSTREAMS) return null;
+    const connected = this.carriers();
+    if (!connected.some(({address}) => address === way.path)) {
+      const others = connected.filter(({address}) => address !== way.failed);
+      const usable = others.length > 0 ? others : connected;
+      way.path = this.leastLoaded(this.preferred(usable, to));
+    }
+    const {path} = way;
+    if (path === null || !this.quiet.has(path)) return noteUse(way, path);
+    return noteUse(way, this.detour(to, path) ?? path);
   }
 
-  /** Forgets an upstream; returns the path that its orders took. */
-  release(to: UpstreamTarget): string | null {
+  /** Another path than a given one; null if no other member is connected. */
+  alternative(to: UpstreamTarget, path: string): string | null {
+    return noteUse(this.wayTo(to), this.detour(to, path));
+  }
+
+  /** Forgets an upstream; returns the members that carried orders for it. */
+  release(to: UpstreamTarget): readonly string[] {
     const key = lifeKey(to);
-    const path = this.known.get(key) ?? null;
-    this.known.delete(key);
-    this.failedPaths.delete(key);
-    return path;
+    const used = this.ways.get(key)?.used ?? [];
+    this.ways.delete(key);
+    return [...used];
   }
 
   /** An order had no answer: the next one takes another path, if any. */
   failed(to: UpstreamTarget, carrier: string): void {
-    const key = lifeKey(to);
-    if (!this.known.has(key)) return;
-    this.known.set(key, null);
-    this.failedPaths.set(key, carrier);
+    const way = this.ways.get(lifeKey(to));
+    if (!way) return;
+    if (way.path === carrier) way.path = null;
+    way.failed = carrier;
   }
 
-  /** A member answered nothing for longer than an order may take. */
-  avoid(carrier: string, now: number): void {
-    this.avoidedUntil.set(carrier, now + AVOID_MS);
+  /** Notes that answers of a member are overdue; whether that is new. */
+  noteQuiet(carrier: string): boolean {
+    if (this.quiet.has(carrier)) return false;
+    this.quiet.add(carrier);
+    return true;
   }
 
-  isAvoided(carrier: string, now: number): boolean {
-    return (this.avoidedUntil.get(carrier) ?? 0) > now;
+  /** Notes that a member told something. */
+  noteHeard(carrier: string): void {
+    this.quiet.delete(carrier);
   }
 
-  private leastLoaded(
-    usable: readonly Carrier[],
-    dataCentre: string,
-  ): string | null {
+  private wayTo(to: UpstreamTarget): Way {
+    const key = lifeKey(to);
+    let way = this.ways.get(key);
+    if (!way) {
+      way = {path: null, failed: null, used: new Set()};
+      this.ways.set(key, way);
+    }
+    return way;
+  }
+
+  /** Spreads the upstreams of a member over the others, always the same way. */
+  private detour(to: UpstreamTarget, path: string): string | null {
+    const others = this.carriers().filter(({address}) => address !== path);
+    const candidates = this.preferred(others, to);
+    return candidates[hashOf(lifeKey(to)) % candidates.length]?.address ?? null;
+  }
+
+  /** Those that are not quiet and near, as far as there are any. */
+  private preferred(
+    carriers: readonly Carrier[],
+    {dataCentre}: UpstreamTarget,
+  ): readonly Carrier[] {
+    const heard = carriers.filter(({address}) => !this.quiet.has(address));
+    const usable = heard.length > 0 ? heard : carriers;
     const near = usable.filter(each => each.dataCentre === dataCentre);
-    const candidates = near.length > 0 ? near : usable;
+    return near.length > 0 ? near : usable;
+  }
+
+  private leastLoaded(candidates: readonly Carrier[]): string | null {
     const loads = new Map<string | null, number>();
-    for (const path of this.known.values()) {
+    for (const {path} of this.ways.values()) {
       loads.set(path, (loads.get(path) ?? 0) + 1);
     }
     let best: string | null = null;
@@ -92,3 +131,17 @@
     return best;
   }
 }
+
+function noteUse(way: Way, path: string | null): string | null {
+  if (path !== null) way.used.add(path);
+  return path;
+}
+
+/** FNV-1a: spreads similar keys evenly. */
+function hashOf(text: string): number {
+  let hash = 0x811c9dc5;
+  for (let i = 0; i < text.length; i++) {
+    hash = Math.imul(hash ^ text.charCodeAt(i), 0x01000193) >>> 0;
+  }
+  return hash;
+}
--- a/packages/dispatch/src/instance/relayed_port.ts
+++ b/packages/dispatch/src/instance/relayed_port.ts
@@ -21,6 +21,7 @@
   type UpstreamTarget,
 } from '../upstreams/upstream_port.js';
 import {type Carrier, OrderPaths} from './order_paths.js';
+import {RepeatBudget} from './repeat_budget.js';
 
 /** Options of the port. */
 export interface RelayedPortOptions {
@@ -36,21 +37,46 @@
   readonly logger: Logger;
 }
 
-/** Time in ms for the way to a member and back, beyond the order's own. */
+/** Usual time in ms for the way to a member and back. */
 const HOP_MS = 40;
 
+/**
+ * Longest time in ms for that way. It exceeds the silence after which a
+ * connection counts as lost, as until then the outcome may only be late: one
+ * lost packet delays all that follows on its connection by 200 ms and more.
+ */
+const LONGEST_HOP_MS = 500;
+
 interface Pending {
   readonly carrier: string;
   readonly settle: (outcome: OrderOutcome) => void;
+  /** Ends the wait without an outcome. */
+  readonly drop: () => void;
+}
+
+/** One way of giving an order. */
+interface Attempt {
+  readonly carrier: string;
+  readonly to: UpstreamTarget;
+  readonly content: OrderContent;
+  /** Time after which no outcome is waited for. */
+  readonly endsAt: number;
+  readonly onOutcome: (outcome: OrderOutcome) => void;
+  /** Told once, when the outcome takes longer than usual. */
+  readonly onOverdue: () => void;
 }
 
+type CarriedOutcome = OrderOutcome & {readonly carrier: string};
+
 /**
- * Falls back to the direct way where no member is connected. An order that had
- * no answer is not repeated here: its session finds out what became of it, by
- * another path.
+ * Falls back to the direct way where no member is connected. A late outcome is
+ * waited for while its member is connected. Only a hold is repeated meanwhile,
+ * by another path, to keep its leases; what became of other orders that had no
+ * answer is found out by their session.
  */
 export class RelayedPort extends UpstreamPort {
   private readonly paths: OrderPaths;
+  private readonly budget: RepeatBudget;
   private readonly pending = new Map<number, Pending>();
   private readonly heardAt = new Map<string, number>();
   private nextId = 1;
@@ -58,40 +84,44 @@
   constructor(private readonly options: RelayedPortOptions) {
     super();
     this.paths = new OrderPaths(options.carriers);
+    this.budget = new RepeatBudget(() => this.paths.size);
   }
 
   override start(to: UpstreamTarget, order: StartOrder): Promise<StartAnswer> {
-    const carrier = this.paths.choose(to, performance.now());
+    const carrier = this.paths.choose(to);
     if (carrier === null) return this.options.direct.start(to, order);
     return this.carry<StartAnswer>(carrier, to, {kind: 'start', order});
   }
 
   override stop(to: UpstreamTarget, order: StopOrder): Promise<StopAnswer> {
-    const carrier = this.paths.choose(to, performance.now());
+    const carrier = this.paths.choose(to);
     if (carrier === null) return this.options.direct.stop(to, order);
     return this.carry<StopAnswer>(carrier, to, {kind: 'stop', order});
   }
 
   override hold(to: UpstreamTarget, order: HoldOrder): Promise<HoldAnswer> {
-    const carrier = this.paths.choose(to, performance.now());
+    const carrier = this.paths.choose(to);
     if (carrier === null) return this.options.direct.hold(to, order);
     return this.carry<HoldAnswer>(carrier, to, {kind: 'hold', order});
   }
 
   override release(to: UpstreamTarget): void {
-    const carrier = this.paths.release(to);
-    if (carrier !== null) this.options.send(carrier, {type: 'orders-end', to});
+    for (const carrier of this.paths.release(to)) {
+      this.options.send(carrier, {type: 'orders-end', to});
+    }
     this.options.direct.release(to);
   }
 
   /** Takes what a member tells of an order that it carried. */
   outcome(carrier: string, id: number, outcome: OrderOutcome): void {
     this.heardAt.set(carrier, performance.now());
+    this.paths.noteHeard(carrier);
     this.pending.get(id)?.settle(outcome);
   }
 
   /** A member's connection ended; what it carried may still arrive. */
   lost(carrier: string): void {
+    this.paths.noteHeard(carrier);
     for (const each of [...this.pending.values()]) {
       if (each.carrier !== carrier) continue;
       each.settle({type: 'unanswered', cause: `${carrier} disconnected`});
@@ -107,51 +137,89 @@
     const target = {id, address, startedAt, dataCentre};
     const outcome = await this.exchange(carrier, target, content);
     // The member answers each kind of order with its kind of answer.
-    if (outcome.type === 'answered') return outcome.answer as A;
-    this.paths.failed(to, carrier);
-    const text = `${content.kind} through ${carrier}: ${outcome.cause}`;
+    if (outcome.type === 'answered') {
+      this.budget.noteAnswer();
+      return outcome.answer as A;
+    }
+    const text = `${content.kind} through ${outcome.carrier}: ${outcome.cause}`;
     throw outcome.type === 'not-sent'
       ? new OrderNotSentError(text)
       : new OrderUnansweredError(text);
   }
 
+  /** Resolves with the first answer, or else with the last failure. */
   private exchange(
     carrier: string,
     to: UpstreamTarget,
     content: OrderContent,
-  ): Promise<OrderOutcome> {
-    const id = this.nextId++;
-    const sentAt = performance.now();
+  ): Promise<CarriedOutcome> {
+    const endsAt = performance.now() + content.order.timeoutMs + LONGEST_HOP_MS;
     return new Promise(resolve => {
-      const timer = setTimeout(() => {
-        // Outcomes that arrived while the process was busy are read first.
-        setImmediate(() => {
-          if (!this.pending.has(id)) return;
-          this.checkCarrier(carrier, sentAt);
-          settle({type: 'unanswered', cause: 'no outcome in time'});
-        });
-      }, content.order.timeoutMs + HOP_MS);
-      const settle = (outcome: OrderOutcome) => {
-        clearTimeout(timer);
-        this.pending.delete(id);
-        resolve(outcome);
+      const open = new Set<number>();
+      const send = (by: string, what: OrderContent, onOverdue: () => void) => {
+        const id = this.nextId++;
+        open.add(id);
+        const onOutcome = (outcome: OrderOutcome) => {
+          open.delete(id);
+          if (outcome.type !== 'answered') {
+            this.paths.failed(to, by);
+            if (open.size > 0) return;
+          }
+          for (const other of open) this.pending.get(other)?.drop();
+          resolve({...outcome, carrier: by});
+        };
+        const attempt = {carrier: by, to, content: what, endsAt};
+        this.send(id, {...attempt, onOutcome, onOverdue});
       };
-      this.pending.set(id, {carrier, settle});
-      const message: OrderMessage = {type: 'order', id, to, content};
-      if (this.options.send(carrier, message)) return;
-      settle({type: 'not-sent', cause: 'not connected'});
+      send(carrier, content, () => {
+        if (content.kind !== 'hold' || !this.budget.take()) return;
+        const other = this.paths.alternative(to, carrier);
+        if (other !== null) send(other, withoutWait(content), () => undefined);
+      });
+    });
+  }
+
+  private send(id: number, attempt: Attempt): void {
+    const {carrier, to, content} = attempt;
+    const sentAt = performance.now();
+    const drop = () => {
+      clearTimeout(timer);
+      this.pending.delete(id);
+    };
+    const settle = (outcome: OrderOutcome) => {
+      drop();
+      attempt.onOutcome(outcome);
+    };
+    // Outcomes that arrived while the process was busy are read first.
+    const arm = (ms: number, due: () => void) =>
+      setTimeout(() => setImmediate(() => this.pending.has(id) && due()), ms);
+    let timer = arm(content.order.timeoutMs + HOP_MS, () => {
+      timer = arm(attempt.endsAt - performance.now(), () => {
+        this.paths.noteHeard(carrier);
+        settle({type: 'unanswered', cause: 'no outcome in time'});
+      });
+      this.checkCarrier(carrier, sentAt);
+      attempt.onOverdue();
     });
+    this.pending.set(id, {carrier, settle, drop});
+    const message: OrderMessage = {type: 'order', id, to, content};
+    if (this.options.send(carrier, message)) return;
+    settle({type: 'not-sent', cause: 'not connected'});
   }
 
   /** Avoids a member that has told nothing since an order was sent. */
   private checkCarrier(carrier: string, sentAt: number): void {
     const heardAt = this.heardAt.get(carrier) ?? 0;
-    if (heardAt >= sentAt) return;
-    const now = performance.now();
-    const isKnown = this.paths.isAvoided(carrier, now);
-    this.paths.avoid(carrier, now);
-    if (isKnown) return;
-    const silentMs = Math.round(now - Math.max(heardAt, sentAt));
+    if (heardAt >= sentAt || !this.paths.noteQuiet(carrier)) return;
+    const silentMs = Math.round(performance.now() - sentAt);
     this.options.logger.warn('order-carrier-avoided', {carrier, silentMs});
   }
 }
+
+/** The same hold, answered at once. */
+function withoutWait({
+  order,
+}: Extract<OrderContent, {kind: 'hold'}>): OrderContent {
+  const timeoutMs = order.timeoutMs - order.waitMs;
+  return {kind: 'hold', order: {...order, timeoutMs, waitMs: 0}};
+}
