Don't let work that can't be in time go before work that can

What callers saw: tasks were started hundreds of ms after their job's objective while newer jobs waited and became late as well.

Cause: a job of which any task had begun counted as in time for ever, and work was started for callers who would stop waiting before its end.

Late jobs that have begun now go after jobs in time and before other late ones, unless less than a fifth of their work is left to start.

--- a/packages/dispatch/src/owner/board_types.ts
+++ b/packages/dispatch/src/owner/board_types.ts
@@ -63,6 +63,8 @@
   readonly since: number;
   /** Whether no earlier owner can have started it. */
   readonly isNew: boolean;
+  /** When the caller of a job that isn't durable stops waiting. */
+  readonly waitsUntil: number;
 }
 
 /** An open job. */
--- a/packages/dispatch/src/owner/call_handler.ts
+++ b/packages/dispatch/src/owner/call_handler.ts
@@ -14,7 +14,12 @@
 import {type AdmittedJob, type JobState, queueKey} from '../jobs/job_types.js';
 import type {Call, CallOrigin, Reply} from '../messages/calls.js';
 import type {Arrival} from './board_types.js';
-import {admittedJob, arrivalOf, lastSegment} from './call_parts.js';
+import {
+  admittedJob,
+  arrivalOf,
+  lastSegment,
+  type SubmitCall,
+} from './call_parts.js';
 import type {Dispatcher, Propose} from './dispatcher.js';
 import type {Registrar} from './registrar.js';
 import type {TaskBoard} from './task_board.js';
@@ -34,8 +39,6 @@
   readonly address: string;
 }
 
-type SubmitCall = Extract<Call, {type: 'submit'}>;
-
 /** Open jobs beyond which submissions are refused; bounds memory. */
 const MAX_OPEN_JOBS = 5_000;
 
@@ -75,7 +78,7 @@
   private dispatch(call: Call, origin: CallOrigin): Promise<Reply> | Reply {
     switch (call.type) {
       case 'submit':
-        return this.submit(call, arrivalOf(origin));
+        return this.submit(call, arrivalOf(call, origin));
       case 'state':
         return this.state(call.host, call.path);
       case 'cancel':
@@ -164,15 +167,14 @@
   }
 
   private runTransient(
-    {job, patienceMs}: SubmitCall,
+    {job}: SubmitCall,
     queue: QueueConfig,
     arrival: Arrival,
   ): Promise<Reply> {
     const admitted = admittedJob(job, queue, this.options.term);
     this.options.metrics.increment('jobs.accepted');
     this.reportAccepted(admitted, queue, 0);
-    const restMs = patienceMs - (performance.now() - arrival.since);
-    return this.transients.submit(admitted, queue, arrival, restMs);
+    return this.transients.submit(admitted, queue, arrival);
   }
 
   private reportAccepted(
--- a/packages/dispatch/src/owner/call_parts.ts
+++ b/packages/dispatch/src/owner/call_parts.ts
@@ -5,12 +5,19 @@
   type JobRequest,
   queueKey,
 } from '../jobs/job_types.js';
-import type {CallOrigin} from '../messages/calls.js';
+import type {Call, CallOrigin} from '../messages/calls.js';
 import type {Arrival} from './board_types.js';
 
-/** When a call came, by the process's clock. */
-export function arrivalOf({ageMs, repeated}: CallOrigin): Arrival {
-  return {since: performance.now() - ageMs, isNew: !repeated};
+export type SubmitCall = Extract<Call, {type: 'submit'}>;
+
+/** When a submission came, by the process's clock. */
+export function arrivalOf(
+  {job, patienceMs}: SubmitCall,
+  {ageMs, repeated}: CallOrigin,
+): Arrival {
+  const since = performance.now() - ageMs;
+  const waitsUntil = job.durable ? Infinity : since + patienceMs;
+  return {since, isNew: !repeated, waitsUntil};
 }
 
 /** A job with what its queue says of it. */
--- a/packages/dispatch/src/owner/dispatcher.ts
+++ b/packages/dispatch/src/owner/dispatcher.ts
@@ -66,7 +66,7 @@
   /** Told of the end of a job that isn't replicated. */
   onTransientEnd: (job: string, state: 'completed' | 'failed') => void = () =>
     undefined;
-  /** Told of a job that is worth nothing any more and has not begun. */
+  /** Told of a job that is worth nothing any more. */
   onHopeless: (job: string) => void = () => undefined;
   private readonly speed = new UpstreamSpeed();
   private readonly health = new OutlierEjection({
--- a/packages/dispatch/src/owner/ready_queue.ts
+++ b/packages/dispatch/src/owner/ready_queue.ts
@@ -1,5 +1,5 @@
 /** Tasks of one pool that wait for an upstream. */
-import type {BoardTask} from './board_types.js';
+import type {BoardJob, BoardTask} from './board_types.js';
 
 /**
  * Time in ms that a job spends on the way besides waiting and running: its
@@ -16,18 +16,34 @@
 /** Tasks in one list that may be passed over before the next list. */
 const MAX_PASSED_OVER = 24;
 
+/**
+ * Part of the declared run time that surely passes, as declared times are off
+ * by about a third.
+ */
+const SURE_PART = 0.7;
+
+/**
+ * What an answer is worth after the objective, against one in time: a late job
+ * of which less than this part is left to start is worth as much as a new one.
+ */
+const LATE_WORTH = 0.2;
+
 /** Whether a job can still meet its objective. */
-export type Band = 'in-time' | 'late' | 'worthless';
+export type Band =
+  | 'in-time'
+  /** Late, after the start of some of its tasks. */
+  | 'begun'
+  | 'late'
+  /** Can't end before it is worth nothing, or its caller stops waiting. */
+  | 'worthless';
 
-const BANDS: readonly Band[] = ['in-time', 'late', 'worthless'];
+const BANDS: readonly Band[] = ['in-time', 'begun', 'late', 'worthless'];
 
 /** What `offer` did with a task. */
 export type OfferResult =
   | 'placed'
   /** No upstream that suits this task has room. */
   | 'passed-over'
-  /** The task is not to be offered again. */
-  | 'dropped'
   /** No upstream has room for any task. */
   | 'full';
 
@@ -39,17 +55,20 @@
   /** Whether a task may start now; others keep their place. */
   readonly isOffered: (task: BoardTask) => boolean;
   readonly offer: (task: BoardTask, band: Band) => OfferResult;
+  /** Drops the job of a worthless task; returns whether it did. */
+  readonly drop: (task: BoardTask) => boolean;
 }
 
 /**
  * Orders tasks by whether their job can still meet its objective, then by the
  * priority of the queue, then by age. In a burst some jobs are late, instead
- * of all of them. Jobs that have begun keep their place, as their work would
- * be lost.
+ * of all of them. Late jobs that have begun go before others, as their work
+ * would be lost, but not before jobs in time.
  */
 export class ReadyQueue {
   private readonly bands: Record<Band, Map<number, BoardTask[]>> = {
     'in-time': new Map(),
+    begun: new Map(),
     late: new Map(),
     worthless: new Map(),
   };
@@ -66,6 +85,7 @@
 
   /** Offers tasks in order until no upstream has room. */
   offerAll(pass: OfferPass): void {
+    this.dropWorthless(pass);
     for (const band of BANDS) {
       const byPriority = this.bands[band];
       const priorities = [...byPriority.keys()].sort((a, b) => a - b);
@@ -76,6 +96,23 @@
     }
   }
 
+  /** Drops the oldest late jobs, which are not offered without room. */
+  private dropWorthless(pass: OfferPass): void {
+    for (const band of ['begun', 'late'] as const) {
+      for (const list of this.bands[band].values()) {
+        let taken = 0;
+        for (const task of list) {
+          const isReady = task.phase === 'ready';
+          if (isReady && bandOf(task, pass) !== 'worthless') break;
+          taken++;
+          this.count--;
+          if (isReady && !pass.drop(task)) this.put('worthless', task);
+        }
+        list.splice(0, taken);
+      }
+    }
+  }
+
   private offerList(band: Band, list: BoardTask[], pass: OfferPass): boolean {
     const passed: BoardTask[] = [];
     let passedOver = 0;
@@ -94,11 +131,11 @@
       const due = bandOf(task, pass);
       if (BANDS.indexOf(due) > BANDS.indexOf(band)) {
         this.count--;
-        this.put(due, task);
+        if (due !== 'worthless' || !pass.drop(task)) this.put(due, task);
         continue;
       }
       const result = pass.offer(task, band);
-      if (result === 'placed' || result === 'dropped') {
+      if (result === 'placed') {
         this.count--;
       } else {
         passedOver++;
@@ -121,7 +158,21 @@
 
 function bandOf({job, step}: BoardTask, {now, fastestFactor}: OfferPass): Band {
   const elapsedMs = now - job.since;
-  if (elapsedMs > job.objectiveMs * WORTHLESS_FACTOR) return 'worthless';
-  const earliestMs = elapsedMs + step.declaredMs * fastestFactor + OVERHEAD_MS;
-  return job.started || earliestMs <= job.objectiveMs ? 'in-time' : 'late';
+  const runMs = step.declaredMs * fastestFactor;
+  if (now + runMs * SURE_PART > job.waitsUntil) return 'worthless';
+  if (elapsedMs + runMs + OVERHEAD_MS <= job.objectiveMs) return 'in-time';
+  if (job.started) return isNearlyStarted(job) ? 'in-time' : 'begun';
+  const isWorthless = elapsedMs > job.objectiveMs * WORTHLESS_FACTOR;
+  return isWorthless ? 'worthless' : 'late';
+}
+
+function isNearlyStarted({tasks}: BoardJob): boolean {
+  let total = 0;
+  let waiting = 0;
+  for (const {step, phase} of tasks.flat()) {
+    const work = step.cpuMillis * step.declaredMs;
+    total += work;
+    if (phase !== 'active' && phase !== 'ended') waiting += work;
+  }
+  return waiting < LATE_WORTH * total;
 }
--- a/packages/dispatch/src/owner/run_starter.ts
+++ b/packages/dispatch/src/owner/run_starter.ts
@@ -21,7 +21,7 @@
   readonly health: OutlierEjection;
   readonly logger: Logger;
   readonly metrics: Metrics;
-  /** Told of a job that is worth nothing any more and has not begun. */
+  /** Told of a job that is worth nothing any more. */
   readonly onHopeless: (job: string) => void;
   readonly mayOrder: () => boolean;
 }
@@ -110,6 +110,7 @@
         fastestFactor: pool.fastestFactor,
         isOffered: task => this.settled || task.job.isNew,
         offer: (task, band) => this.offer(task, band, search),
+        drop: task => this.drop(task),
       });
       if (queue.size > 0 && pool.isPartial) this.scheduleRetry();
       this.options.activity.took('pass', performance.now() - now);
@@ -124,14 +125,15 @@
     }, REFRESH_MS);
   }
 
+  private drop({job}: BoardTask): boolean {
+    if (job.admitted.durable) return false;
+    this.options.onHopeless(job.admitted.id);
+    return true;
+  }
+
   private offer(task: BoardTask, band: Band, search: Search): OfferResult {
-    const {placement, onHopeless, activity} = this.options;
+    const {placement, activity} = this.options;
     activity.count('offered');
-    const {admitted, started} = task.job;
-    if (band === 'worthless' && !started && !admitted.durable) {
-      onHopeless(admitted.id);
-      return 'dropped';
-    }
     const {pool, now} = search;
     if (pool.size === 0) return 'full';
     const isLate = band !== 'in-time';
--- a/packages/dispatch/src/owner/task_board.ts
+++ b/packages/dispatch/src/owner/task_board.ts
@@ -77,7 +77,7 @@
     term: number,
   ): void {
     const since = now - Math.max(0, Date.now() - record.job.admittedAt);
-    const arrival = {since, isNew: false};
+    const arrival = {since, isNew: false, waitsUntil: Infinity};
     const job = this.create(record.job, queue, arrival, record.progress);
     const lastRun = (term - record.job.term) * RUNS_PER_TERM;
     for (const task of job.tasks.flat()) {
--- a/packages/dispatch/src/owner/transient_jobs.ts
+++ b/packages/dispatch/src/owner/transient_jobs.ts
@@ -40,15 +40,15 @@
     return this.waiting.get(id)?.reply ?? this.answers.get(id);
   }
 
-  /** Runs a job; resolves with its end, at the latest after `restMs`. */
+  /** Runs a job; resolves at the latest when its caller stops waiting. */
   submit(
     job: AdmittedJob,
     queue: QueueConfig,
     arrival: Arrival,
-    restMs: number,
   ): Promise<Reply> {
     let settle: (reply: Reply) => void = () => undefined;
     const reply = new Promise<Reply>(resolve => (settle = resolve));
+    const restMs = arrival.waitsUntil - performance.now();
     const timer = setTimeout(() => this.expire(job.id), restMs);
     this.waiting.set(job.id, {reply, settle, timer});
     this.options.dispatcher.place(job, queue, arrival);
--- a/packages/dispatch/tests/owner/owner.test.ts
+++ b/packages/dispatch/tests/owner/owner.test.ts
@@ -282,4 +282,17 @@
     expect(reply).to.deep.equal({type: 'refused', reason: 'not-in-time'});
     expect(harness.spans.some(s => s.task.startsWith('b'))).to.equal(false);
   });
+
+  // Its tasks took room until the caller's deadline, and were stopped then.
+  it('gives up a job that has begun once it cannot end before its deadline', async () => {
+    await begin(1);
+    harness.upstream(0).runMs = 900;
+    const from = performance.now();
+    const reply = await harness.settled(
+      harness.submit('a', [step(4, {declaredMs: 900})]),
+    );
+    expect(reply).to.deep.equal({type: 'given-up'});
+    expect(performance.now() - from).to.be.below(1_200);
+    expect(harness.spans).to.have.length(2);
+  });
 });
