--- a/packages/dispatch/src/instance/call_outcome.ts
+++ b/packages/dispatch/src/instance/call_outcome.ts
@@ -24,5 +24,7 @@
   | 'not-leader'
   /** The leadership ended while the call was open. */
   | 'interrupted'
+  /** Refused by a later leader, after an earlier one may have run it. */
+  | 'refused'
   /** Too few voters are connected. */
   | 'isolated';
--- a/packages/dispatch/src/instance/leader_client.ts
+++ b/packages/dispatch/src/instance/leader_client.ts
@@ -116,7 +116,7 @@
         if (reply.type !== 'refused' || !mayHaveRun) {
           return {type: 'replied', reply};
         }
-        return {type: 'unanswered', mayHaveRun, obstacle};
+        return {type: 'unanswered', mayHaveRun, obstacle: 'refused'};
       }
       obstacle = typeof reply === 'object' ? reply.type : reply;
       if (reply === 'lost' || reply === 'timeout') mayHaveRun = true;
--- a/packages/runtime/src/limited_logger.ts
+++ b/packages/runtime/src/limited_logger.ts
@@ -8,6 +8,8 @@
   readonly linesPerSecond: number;
   /** Lines that may come at once. */
   readonly burstLines: number;
+  /** Lines a second of each event that pass in any case. */
+  readonly reservedLines: number;
 }
 
 /** Period in ms in which dropped lines are reported. */
@@ -33,13 +35,31 @@
   }
 }
 
+/** Keeps frequent events from crowding out rare ones. */
+class Reserve {
+  private passed = new Map<string, number>();
+  private until = 0;
+
+  constructor(private readonly linesPerSecond: number) {}
+
+  take(event: string): boolean {
+    const now = performance.now();
+    if (now >= this.until) {
+      this.passed.clear();
+      this.until = now + 1_000;
+    }
+    const count = this.passed.get(event) ?? 0;
+    if (count >= this.linesPerSecond) return false;
+    this.passed.set(event, count + 1);
+    return true;
+  }
+}
+
 type LimitedLevel = Exclude<LogLevel, 'silent'>;
 
 class LimitedLogger implements Logger, Closable {
   readonly name = 'limited-logger';
   private readonly dropped = new Map<string, number>();
-  /** Events written since the last report. */
-  private readonly written = new Set<string>();
   private readonly timer = setInterval(
     () => this.report(),
     REPORT_PERIOD_MS,
@@ -49,6 +69,7 @@
     private readonly sink: Logger,
     private readonly routine: TokenBucket,
     private readonly warnings: TokenBucket,
+    private readonly reserve: Reserve,
   ) {}
 
   debug(event: string, fields?: LogFields): void {
@@ -72,6 +93,7 @@
       this.sink.child(fields),
       this.routine,
       this.warnings,
+      this.reserve,
     );
   }
 
@@ -86,14 +108,14 @@
     fields: LogFields | undefined,
   ): void {
     const bucket = level === 'warn' ? this.warnings : this.routine;
-    const isFirst = !this.written.has(event);
-    this.written.add(event);
-    if (bucket.take() || isFirst) this.sink[level](event, fields);
-    else this.dropped.set(event, (this.dropped.get(event) ?? 0) + 1);
+    if (bucket.take() || this.reserve.take(event)) {
+      this.sink[level](event, fields);
+      return;
+    }
+    this.dropped.set(event, (this.dropped.get(event) ?? 0) + 1);
   }
 
   private report(): void {
-    this.written.clear();
     if (this.dropped.size === 0) return;
     const counts = Object.fromEntries(this.dropped);
     this.dropped.clear();
@@ -102,14 +124,14 @@
 }
 
 /**
- * Limits a logger; what is dropped is counted and reported each second. Errors
- * always pass, and so does the first line of each event in a second: frequent
- * events must not hide rare ones.
+ * Limits a logger; what is dropped is counted and reported each second.
+ * Errors always pass.
  */
 export function limitLogger(sink: Logger, limit: LogLimit): Logger & Closable {
   return new LimitedLogger(
     sink,
     new TokenBucket(limit),
     new TokenBucket(limit),
+    new Reserve(limit.reservedLines),
   );
 }
