Measure run times and progress by the upstream's clock

Callers saw jobs take longer, and work thrown away, while answers were late: sound runs were stopped and started elsewhere as slow.

Cause: progress was judged, and speeds were learned, by the time at which answers arrived. A late answer shows old progress, so a run seemed to stand still ('run-restarted' with a remaining time of seconds for tasks of 60 ms), and a late answer to a start or a list seemed a slow upstream, which moves tasks away from sound upstreams.

Change: both use the readings of the upstream's clock that come with the answers to starts and holds. Consecutive failures and fast failures still count by the time of arrival where no reading exists.

--- a/packages/dispatch/src/owner/board_types.ts
+++ b/packages/dispatch/src/owner/board_types.ts
@@ -26,6 +26,8 @@
   /** When the upstream acknowledged a stop; Infinity before. */
   stopAckedAt: number;
   readonly progress: RunProgress;
+  /** Time to its end by the upstream's clock in ms; null while unknown. */
+  ranMs: number | null;
 }
 
 /** Where a task is. */
--- a/packages/dispatch/src/owner/found_runs.ts
+++ b/packages/dispatch/src/owner/found_runs.ts
@@ -125,7 +125,8 @@
       phase: 'running',
       confirmedAt: now,
       stopAckedAt: Infinity,
-      progress: new RunProgress(now),
+      progress: new RunProgress(),
+      ranMs: null,
     };
     task.lastRun = Math.max(task.lastRun, active.run);
     task.run = run;
--- a/packages/dispatch/src/owner/run_orders.ts
+++ b/packages/dispatch/src/owner/run_orders.ts
@@ -83,7 +83,9 @@
       if (answer.reason === 'superseded') options.events.superseded(session);
       return;
     }
-    if (runs.has(run) && run.phase === 'starting') runs.confirm(run);
+    if (runs.has(run) && run.phase === 'starting') {
+      runs.confirm(run, answer.clockMs);
+    }
   }
 
   private refuse(run: Run, reason: StartRefusal | 'not-sent'): void {
--- a/packages/dispatch/src/owner/run_starter.ts
+++ b/packages/dispatch/src/owner/run_starter.ts
@@ -160,7 +160,8 @@
       phase: 'starting',
       confirmedAt: Infinity,
       stopAckedAt: Infinity,
-      progress: new RunProgress(now),
+      progress: new RunProgress(),
+      ranMs: null,
     };
     task.lastRun = run.number;
     task.run = run;
--- a/packages/dispatch/src/owner/run_table.ts
+++ b/packages/dispatch/src/owner/run_table.ts
@@ -1,6 +1,6 @@
 /** Runs that the owner believes to be on one upstream. */
 import {type TaskId, taskKey} from '../jobs/job_types.js';
-import type {ActiveRun} from '../upstreams/upstream_port.js';
+import type {ActiveRun, RunEnd} from '../upstreams/upstream_port.js';
 import type {UpstreamRecord} from '../upstreams/upstream_types.js';
 import type {Run} from './board_types.js';
 import {CapacityUse} from './capacity_use.js';
@@ -19,6 +19,8 @@
 export class RunTable {
   readonly use: CapacityUse;
   private readonly runs = new Map<string, Run>();
+  /** Reading of the upstream's clock with its newest list of ends. */
+  private listedAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(record: UpstreamRecord) {
     this.use = new CapacityUse(record);
@@ -60,20 +62,45 @@
     this.use.remove(run.task.step);
   }
 
-  /** Notes that the upstream has begun a run. */
-  confirm(run: Run): void {
+  /**
+   * Notes that the upstream has begun a run.
+   *
+   * @param clockMs Reading of its clock then, if that is known.
+   */
+  confirm(run: Run, clockMs?: number): void {
+    if (clockMs !== undefined) run.progress.begin(clockMs);
     run.phase = 'running';
     run.confirmedAt = performance.now();
     run.task.job.started = true;
   }
 
+  /**
+   * Removes runs whose ends are listed.
+   *
+   * @param clockMs Reading of the upstream's clock with the list.
+   */
+  takeEnds(ends: readonly RunEnd[], clockMs: number): void {
+    for (const end of ends) {
+      const run = this.runs.get(taskKey(end.task));
+      if (run?.number !== end.run) continue;
+      run.ranMs = run.progress.runMsOf(clockMs, this.listedAtMs);
+      this.remove(run);
+    }
+    this.listedAtMs = clockMs;
+  }
+
   /**
    * Compares with the runs that the upstream lists.
    *
    * @param sentAt When the list was asked for; runs confirmed later may be
    *     missing from it.
+   * @param clockMs Reading of the upstream's clock with the list.
    */
-  compare(active: readonly ActiveRun[], sentAt: number): RunComparison {
+  compare(
+    active: readonly ActiveRun[],
+    sentAt: number,
+    clockMs: number,
+  ): RunComparison {
     const listed = new Set<Run>();
     const begun: Run[] = [];
     const found: ActiveRun[] = [];
@@ -84,7 +111,7 @@
         continue;
       }
       listed.add(run);
-      run.progress.observe(each.percent, performance.now());
+      run.progress.observe(each.percent, clockMs);
       if (run.phase === 'starting' || run.phase === 'uncertain') {
         begun.push(run);
       }
--- a/packages/dispatch/src/owner/stragglers.ts
+++ b/packages/dispatch/src/owner/stragglers.ts
@@ -50,7 +50,7 @@
     const {speed, placement} = this.options;
     const {declaredMs} = task.step;
     const expectedMs = declaredMs * speed.factor(session.key, now);
-    const projectedMs = now - run.startedAt + remainingMs;
+    const projectedMs = run.progress.elapsedMs + remainingMs;
     if (projectedMs < SLOW_FACTOR * expectedMs) return;
     if (Number.isFinite(remainingMs)) {
       speed.observe(session.key, projectedMs, declaredMs, now);
--- a/packages/dispatch/src/owner/task_outcomes.ts
+++ b/packages/dispatch/src/owner/task_outcomes.ts
@@ -45,10 +45,9 @@
     const isCurrent =
       current?.session === session && current.number === end.run;
     const run = isCurrent ? current : null;
-    const runMs = run ? performance.now() - run.startedAt : 0;
     task.job.started = true;
-    this.report(session, end, runMs);
-    this.learn(session, end, task, runMs);
+    this.report(session, end, run);
+    if (run) this.learn(session, end, run);
     if (end.outcome === 'done') this.done(task, run);
     else if (end.outcome === 'failed') this.failed(task, run, session);
     else if (run) board.requeue(task);
@@ -111,7 +110,11 @@
     task.avoid = [...task.avoid, session.key].slice(-MAX_AVOIDED);
   }
 
-  private report(session: UpstreamSession, end: RunEnd, runMs: number): void {
+  private report(
+    session: UpstreamSession,
+    end: RunEnd,
+    current: Run | null,
+  ): void {
     const {outcome, run, task} = end;
     this.options.metrics.increment('runs.ended', 1, {outcome});
     if (outcome === 'done') return;
@@ -121,18 +124,14 @@
       run,
       upstream: session.record.id,
       outcome,
-      runMs: Math.round(runMs),
+      runMs: current ? Math.round(runMsOf(current)) : 0,
     });
   }
 
-  private learn(
-    session: UpstreamSession,
-    {outcome}: RunEnd,
-    task: BoardTask,
-    runMs: number,
-  ): void {
-    if (runMs <= 0 || (outcome !== 'done' && outcome !== 'failed')) return;
+  private learn(session: UpstreamSession, {outcome}: RunEnd, run: Run): void {
+    if (outcome !== 'done' && outcome !== 'failed') return;
     const {speed, health, logger, remoteFactor} = this.options;
+    const {task, ranMs} = run;
     const {step} = task;
     const {labels, id} = session.record;
     const near = step.dataRack === '' || labels.includes(step.dataRack);
@@ -140,7 +139,10 @@
     const now = performance.now();
     const expectedMs = declaredMs * speed.factor(session.key, now);
     const ok = outcome === 'done';
-    if (ok) speed.observe(session.key, runMs, declaredMs, now);
+    if (ok && ranMs !== null) {
+      speed.observe(session.key, ranMs, declaredMs, now);
+    }
+    const runMs = runMsOf(run);
     const changes = health.record(
       {upstream: session.key, taskId: task.key, ok, runMs, expectedMs},
       now,
@@ -184,3 +186,8 @@
     this.options.metrics.timing('jobs.took', tookMs, {outcome});
   }
 }
+
+/** Run time in ms, or else the time since the start order. */
+function runMsOf({ranMs, startedAt}: Run): number {
+  return ranMs ?? performance.now() - startedAt;
+}
--- a/packages/dispatch/src/owner/upstream_session.ts
+++ b/packages/dispatch/src/owner/upstream_session.ts
@@ -1,5 +1,4 @@
 /** The owner's contact with one life of an upstream. */
-import {taskKey} from '../jobs/job_types.js';
 import type {
   ActiveRun,
   HoldAnswer,
@@ -236,19 +235,19 @@
     const {events} = this.options;
     if (answer.type === 'superseded') return events.superseded(this);
     if (answer.type === 'other-life') return events.otherLife(this, undefined);
-    const {startedAt} = answer;
+    const {startedAt, clockMs} = answer;
     if (startedAt !== undefined && startedAt !== this.record.startedAt) {
       return events.otherLife(this, startedAt);
     }
     this.heardAt = performance.now();
     this.answeredHoldAt = sentAt;
     this.failures = 0;
-    this.observeClock(answer.clockMs);
+    this.observeClock(clockMs);
     const wasFencing = this.state === 'fencing';
     if (this.state !== 'live') this.setContact('live', 'answered');
     if (this.abandoned.length > 0) this.forbidAbandoned();
-    this.takeEnds(answer.ends);
-    this.takeActive(answer.active, sentAt);
+    this.takeEnds(answer.ends, clockMs);
+    this.takeActive(answer, sentAt);
     if (wasFencing) events.fenced(this);
     events.progressed(this);
   }
@@ -259,13 +258,10 @@
     this.clock ??= new LeaseClock(clockMs, now, this.options.leaseMs);
   }
 
-  private takeEnds(all: readonly RunEnd[]): void {
+  private takeEnds(all: readonly RunEnd[], clockMs: number): void {
     const ends = this.cursor.take(all);
+    this.runs.takeEnds(ends, clockMs);
     if (ends.length === 0) return;
-    for (const end of ends) {
-      const run = this.runs.get(taskKey(end.task));
-      if (run?.number === end.run) this.runs.remove(run);
-    }
     const upTo = this.cursor.seenUpTo;
     const earlier = this.committing ?? Promise.resolve(true);
     const {events} = this.options;
@@ -277,8 +273,11 @@
     this.committing = committed;
   }
 
-  private takeActive(active: readonly ActiveRun[], sentAt: number): void {
-    const {begun, found, gone} = this.runs.compare(active, sentAt);
+  private takeActive(
+    {active, clockMs}: Extract<HoldAnswer, {type: 'held'}>,
+    sentAt: number,
+  ): void {
+    const {begun, found, gone} = this.runs.compare(active, sentAt, clockMs);
     for (const run of begun) this.runs.confirm(run);
     this.strays = found.length;
     for (const each of found) this.options.events.foundRun(this, each);
--- a/packages/dispatch/tests/instance/slow_carriers.test.ts
+++ b/packages/dispatch/tests/instance/slow_carriers.test.ts
@@ -181,6 +181,12 @@
     expect(connections.direct?.orders).to.equal(before);
   });
 
+  it('starts no task a second time because its answer was late', async () => {
+    connections.loses = true;
+    await load('slow');
+    expect(runsOf('slow')).to.equal(JOBS * 4);
+  });
+
   it('keeps the runs on the upstreams of a member that is cut', async () => {
     for (const each of harness.upstreams) each.runMs = 900;
     const replies = Array.from({length: 24}, (_, i) =>
