Give carried orders connections of their own, several for each member

Callers saw the jobs of whole data centres late, and the leader lost its followers, while links lost packets.

Cause: the log, calls and all orders of a member shared one connection. Under load it carries hundreds of frames a second, so that one lost packet in a hundred holds it up several times a second, for 200 ms each: all orders of the member and the heartbeats of the log wait.

Change: the leader opens four connections for orders to each member that carries some; the orders for one upstream share one of them. They open at the first order, which goes beside the log until then, and end with the term or with the connection of the log.

--- a/packages/dispatch/src/instance/member.ts
+++ b/packages/dispatch/src/instance/member.ts
@@ -31,8 +31,8 @@
 } from './log_timing.js';
 import type {MemberOptions} from './member_options.js';
 import {carryOrder} from './order_carrier.js';
+import {OrderRelay} from './order_relay.js';
 import {PauseDetector} from './pause_detector.js';
-import {RelayedPort} from './relayed_port.js';
 import {votersFor} from './voter_places.js';
 import {WaitingCallers} from './waiting_callers.js';
 
@@ -50,7 +50,7 @@
   private readonly life = new LifecycleManager('member');
   private readonly state = new DispatchState();
   private readonly others: KnownMembers;
-  private readonly port: RelayedPort;
+  private readonly relay: OrderRelay;
   private readonly pauses: PauseDetector;
   private readonly client: LeaderClient;
   private server!: FrameServer<PeerMessage>;
@@ -82,21 +82,23 @@
         seeds,
         logger,
         local: (call, origin) => this.local(call, origin),
-        onOrderOutcome: (carrier, {id, outcome}) =>
-          this.port.outcome(carrier, id, outcome),
-        onDisconnected: carrier => this.port.lost(carrier),
+        onOrderOutcome: (carrier, message) =>
+          this.relay.outcome(carrier, message),
+        onDisconnected: carrier => this.relay.lost(carrier),
       }),
     );
     this.others = new KnownMembers({
       ...options,
       isConnected: other => this.client.isConnected(other),
     });
-    this.port = new RelayedPort({
-      direct: options.port,
-      carriers: () => this.others.connected,
-      send: (carrier, message) => this.client.send(carrier, message),
-      logger,
-    });
+    this.relay = this.life.own(
+      new OrderRelay({
+        direct: options.port,
+        carriers: () => this.others.connected,
+        sendBeside: (carrier, message) => this.client.send(carrier, message),
+        logger,
+      }),
+    );
   }
 
   /** Recovers the member's state and starts it. */
@@ -212,10 +214,11 @@
     options.logger.info('leadership', {leads, term, cause});
     this.owner?.close();
     this.owner = null;
+    if (!leads) this.relay.close();
     if (leads && log) {
       this.owner = new Owner({
         ...options,
-        port: this.port,
+        port: this.relay.port,
         log,
         state: this.state,
         term,
@@ -250,8 +253,7 @@
         channel.send(await carryOrder(this.options.port, message));
         return;
       case 'orders-end':
-        this.options.port.release(message.to);
-        return;
+        return this.options.port.release(message.to);
       default:
         // The others are only sent the other way.
         return;
--- a/packages/dispatch/src/instance/order_paths.ts
+++ b/packages/dispatch/src/instance/order_paths.ts
@@ -1,6 +1,7 @@
 /** Choice of the member that carries the orders for an upstream. */
 import {type UpstreamTarget} from '../upstreams/upstream_port.js';
 import {lifeKey} from '../upstreams/upstream_types.js';
+import {hashOf} from './hash.js';
 
 /** A member that can carry orders. */
 export interface Carrier {
@@ -136,12 +137,3 @@
   if (path !== null) way.used.add(path);
   return path;
 }
-
-/** FNV-1a: spreads similar keys evenly. */
-function hashOf(text: string): number {
-  let hash = 0x811c9dc5;
-  for (let i = 0; i < text.length; i++) {
-    hash = Math.imul(hash ^ text.charCodeAt(i), 0x01000193) >>> 0;
-  }
-  return hash;
-}
--- a/packages/dispatch/src/instance/relayed_port.ts
+++ b/packages/dispatch/src/instance/relayed_port.ts
@@ -49,6 +49,8 @@
 
 interface Pending {
   readonly carrier: string;
+  /** Id of the upstream. */
+  readonly upstream: string;
   readonly settle: (outcome: OrderOutcome) => void;
   /** Ends the wait without an outcome. */
   readonly drop: () => void;
@@ -119,11 +121,18 @@
     this.pending.get(id)?.settle(outcome);
   }
 
-  /** A member's connection ended; what it carried may still arrive. */
-  lost(carrier: string): void {
+  /**
+   * A connection to a member ended; what it carried may still arrive.
+   *
+   * @param concerns Whether the orders for an upstream used it.
+   */
+  lost(
+    carrier: string,
+    concerns: (upstream: string) => boolean = () => true,
+  ): void {
     this.paths.noteHeard(carrier);
     for (const each of [...this.pending.values()]) {
-      if (each.carrier !== carrier) continue;
+      if (each.carrier !== carrier || !concerns(each.upstream)) continue;
       each.settle({type: 'unanswered', cause: `${carrier} disconnected`});
     }
   }
@@ -201,7 +210,7 @@
       this.checkCarrier(carrier, sentAt);
       attempt.onOverdue();
     });
-    this.pending.set(id, {carrier, settle, drop});
+    this.pending.set(id, {carrier, upstream: to.id, settle, drop});
     const message: OrderMessage = {type: 'order', id, to, content};
     if (this.options.send(carrier, message)) return;
     settle({type: 'not-sent', cause: 'not connected'});
