Let members carry the first orders of a term, too

Cause, one of them: a leader counts the upstreams that it has met to decide whether it gives orders itself. It meets all upstreams of the replicated state one by one at its first moment, so that it opened connections to the first 64 of 88 itself, which it never used again.

Change: the count is at least that of the replicated state.

--- a/packages/dispatch/src/instance/member.ts
+++ b/packages/dispatch/src/instance/member.ts
@@ -95,6 +95,7 @@
       new OrderRelay({
         direct: options.port,
         carriers: () => this.others.connected,
+        upstreams: () => this.state.upstreams.size,
         sendBeside: (carrier, message) => this.client.send(carrier, message),
         logger,
       }),
--- a/packages/dispatch/src/instance/order_paths.ts
+++ b/packages/dispatch/src/instance/order_paths.ts
@@ -31,8 +31,15 @@
   /** Members whose answers are overdue; nothing was heard of them since. */
   private readonly quiet = new Set<string>();
 
-  /** @param carriers The members that are connected now, without the leader. */
-  constructor(private readonly carriers: () => readonly Carrier[]) {}
+  /**
+   * @param carriers The members that are connected now, without the leader.
+   * @param upstreams Count of the upstreams that the group knows: a new leader
+   *     meets them one by one, and must not connect to most of a large pool.
+   */
+  constructor(
+    private readonly carriers: () => readonly Carrier[],
+    private readonly upstreams: () => number,
+  ) {}
 
   /** Upstreams that have a path. */
   get size(): number {
@@ -45,7 +52,8 @@
    */
   choose(to: UpstreamTarget): string | null {
     const way = this.wayTo(to);
-    if (this.ways.size <= MAX_DIRECT_UPSTREAMS) return null;
+    const count = Math.max(this.ways.size, this.upstreams());
+    if (count <= MAX_DIRECT_UPSTREAMS) return null;
     const connected = this.carriers();
     if (!connected.some(({address}) => address === way.path)) {
       const others = connected.filter(({address}) => address !== way.failed);
--- a/packages/dispatch/src/instance/order_relay.ts
+++ b/packages/dispatch/src/instance/order_relay.ts
@@ -17,6 +17,8 @@
   readonly direct: UpstreamPort;
   /** Members that are connected now, without this one. */
   readonly carriers: () => readonly Carrier[];
+  /** Count of the upstreams that the group knows. */
+  readonly upstreams: () => number;
   /** Sends on the connection that the log and calls use. */
   readonly sendBeside: (
     carrier: string,
--- a/packages/dispatch/src/instance/relayed_port.ts
+++ b/packages/dispatch/src/instance/relayed_port.ts
@@ -29,6 +29,8 @@
   readonly direct: UpstreamPort;
   /** Members that are connected now, without this one. */
   readonly carriers: () => readonly Carrier[];
+  /** Count of the upstreams that the group knows. */
+  readonly upstreams: () => number;
   /** Returns false if the message surely did not leave. */
   readonly send: (
     carrier: string,
@@ -85,7 +87,7 @@
 
   constructor(private readonly options: RelayedPortOptions) {
     super();
-    this.paths = new OrderPaths(options.carriers);
+    this.paths = new OrderPaths(options.carriers, options.upstreams);
     this.budget = new RepeatBudget(() => this.paths.size);
   }
 
--- a/packages/dispatch/tests/instance/relayed_port.test.ts
+++ b/packages/dispatch/tests/instance/relayed_port.test.ts
@@ -45,6 +45,7 @@
   let direct: CountingPort;
   let ports: Map<string, CountingPort>;
   let connected: Carrier[];
+  let known: number;
   let silent: Set<string>;
   let sent: (OrderMessage | OrdersEndMessage)[];
   let port: RelayedPort;
@@ -59,6 +60,7 @@
       (_, i) => new FakeUpstream(`u${i}`, `10.0.0.${i}:1`, []),
     );
     direct = new CountingPort(upstreams);
+    known = 0;
     connected = [
       {address: 'm1', dataCentre: 'a'},
       {address: 'm2', dataCentre: 'a'},
@@ -73,6 +75,7 @@
     port = new RelayedPort({
       direct,
       carriers: () => connected,
+      upstreams: () => known,
       send: (carrier, message) => deliver(carrier, message),
       logger,
     });
@@ -136,6 +139,13 @@
     expect(Math.abs(carriedBy('m1') - carriedBy('m2'))).to.be.at.most(1);
   });
 
+  it('lets members carry the first orders of a term, too, as so many new connections stop a leader', async () => {
+    known = COUNT;
+    await holdAll();
+    expect(direct.holds).to.equal(0);
+    expect(carriedBy('m3')).to.equal(COUNT / 2);
+  });
+
   it('reports an order that a member could not deliver as never sent', async () => {
     await holdAll();
     (upstreams[0] as FakeUpstream).fate = () => 'unreached';
--- a/packages/dispatch/tests/instance/slow_carriers.test.ts
+++ b/packages/dispatch/tests/instance/slow_carriers.test.ts
@@ -86,6 +86,7 @@
     this.relayed = new RelayedPort({
       direct: this.direct,
       carriers: () => CARRIERS,
+      upstreams: () => 0,
       send: (carrier, message) => this.send(port, carrier, message),
       logger: createLogger('silent'),
     });
