Refuse at once the jobs that the work before them leaves no time for

Cause: admission didn't look at the work that waits.

Each queue now sums up its waiting work by band and priority, and each pool the declared work that its upstreams do in a ms. A new job that isn't stored is refused with `not-in-time` when, by these, it can end neither in time, nor late before it is worth nothing or its caller stops waiting. Late work counts on all upstreams while little work in time waits, otherwise on what late work got in the last half second. The same is asked when a waiting job that has not begun becomes late. The estimate assumes that all processors are used, so that it refuses too few jobs rather than too many; it refuses nothing before the owner is settled.

A refusal says that a job never ran, so that one that had begun under an earlier submission, or may have under an earlier owner, is answered `given-up` instead.

The new test of refusals at once failed before (none of ten jobs, three of which fit before the deadline, was refused within 100 ms), as did the two of the queue.

--- a/packages/dispatch/src/owner/board_types.ts
+++ b/packages/dispatch/src/owner/board_types.ts
@@ -1,6 +1,7 @@
 /** Scheduling state of jobs and tasks on the owner; not replicated. */
 import type {QueueConfig} from '../jobs/configuration.js';
 import type {AdmittedJob, Step, TaskId} from '../jobs/job_types.js';
+import type {Band} from './ready_queue.js';
 import type {RunProgress} from './run_progress.js';
 import type {UpstreamSession} from './upstream_session.js';
 
@@ -50,6 +51,8 @@
   readonly job: BoardJob;
   readonly step: Step;
   phase: TaskPhase;
+  /** Whether the work of the task counts as waiting in its queue, and where. */
+  queuedAs: Band | null;
   run: Run | null;
   /** Highest run number that may have been used. */
   lastRun: number;
@@ -75,6 +78,8 @@
   readonly queue: QueueConfig;
   /** Response time objective in milliseconds, from the declared times. */
   readonly objectiveMs: number;
+  /** Longest chain of declared run times. */
+  readonly chainMs: number;
   readonly tasks: readonly (readonly BoardTask[])[];
   /** Tasks not done, by step. */
   readonly remaining: number[];
--- a/packages/dispatch/src/owner/call_handler.ts
+++ b/packages/dispatch/src/owner/call_handler.ts
@@ -12,7 +12,12 @@
 import type {Configuration, QueueConfig} from '../jobs/configuration.js';
 import type {DispatchState} from '../jobs/dispatch_state.js';
 import {type AdmittedJob, type JobState, queueKey} from '../jobs/job_types.js';
-import type {Call, CallOrigin, Reply} from '../messages/calls.js';
+import type {
+  Call,
+  CallOrigin,
+  Reply,
+  SubmitRefusal,
+} from '../messages/calls.js';
 import type {Arrival} from './board_types.js';
 import {
   admittedJob,
@@ -22,7 +27,7 @@
 } from './call_parts.js';
 import type {Dispatcher, Propose} from './dispatcher.js';
 import type {Registrar} from './registrar.js';
-import type {TaskBoard} from './task_board.js';
+import {expectedTimes, type TaskBoard} from './task_board.js';
 import {TransientJobs} from './transient_jobs.js';
 
 /** What calls are answered from. */
@@ -129,10 +134,7 @@
     return admission;
   }
 
-  private refuse(
-    job: string,
-    reason: 'no-configuration' | 'overloaded',
-  ): Reply {
+  private refuse(job: string, reason: SubmitRefusal): Reply {
     const {logger, metrics, board} = this.options;
     logger.warn('job-refused', {job, reason, openJobs: board.openCount});
     metrics.increment('jobs.refused', 1, {reason});
@@ -170,8 +172,17 @@
     {job}: SubmitCall,
     queue: QueueConfig,
     arrival: Arrival,
-  ): Promise<Reply> {
-    const admitted = admittedJob(job, queue, this.options.term);
+  ): Promise<Reply> | Reply {
+    const {dispatcher, term} = this.options;
+    const {pool, priority} = queue;
+    const expected = expectedTimes(job, queue);
+    if (!dispatcher.canServe({...arrival, ...expected, pool, priority})) {
+      const mayHaveRun = !arrival.isNew || this.transients.mayHaveRun(job.id);
+      // A refusal says that the job never ran.
+      if (mayHaveRun) return {type: 'given-up'};
+      return this.refuse(job.id, 'not-in-time');
+    }
+    const admitted = admittedJob(job, queue, term);
     this.options.metrics.increment('jobs.accepted');
     this.reportAccepted(admitted, queue, 0);
     return this.transients.submit(admitted, queue, arrival);
--- a/packages/dispatch/src/owner/dispatcher.ts
+++ b/packages/dispatch/src/owner/dispatcher.ts
@@ -17,7 +17,7 @@
 import {LostRuns} from './lost_runs.js';
 import type {OwnerActivity} from './owner_activity.js';
 import {PlacementPolicy} from './placement.js';
-import {RunStarter} from './run_starter.js';
+import {type NewJob, RunStarter} from './run_starter.js';
 import type {Contact, SessionEvents} from './session_types.js';
 import {Stragglers} from './stragglers.js';
 import type {TaskBoard} from './task_board.js';
@@ -159,6 +159,10 @@
     }
   }
 
+  canServe(job: NewJob): boolean {
+    return this.starter.canServe(job);
+  }
+
   /** Adds a job and starts what it can. */
   place(job: AdmittedJob, queue: QueueConfig, arrival: Arrival): void {
     const {board, state} = this.options;
@@ -197,8 +201,8 @@
   contactChanged(session: UpstreamSession, from: Contact, cause: string): void {
     const {contact, record, runs} = session;
     const {logger, metrics} = this.options;
-    const of = {upstream: record.id, runs: runs.size};
-    const fields = {...of, from, to: contact, cause};
+    const to = contact;
+    const fields = {upstream: record.id, runs: runs.size, from, to, cause};
     if (contact === 'live') logger.info('upstream-reached', fields);
     else logger.warn('upstream-not-reached', fields);
     metrics.increment('upstream.contact_changes', 1, {to: contact});
--- a/packages/dispatch/src/owner/pool_index.ts
+++ b/packages/dispatch/src/owner/pool_index.ts
@@ -40,6 +40,7 @@
   private cpuMillis = 0;
   private usedCpuMillis = 0;
   private fastest = 1;
+  private rate = 0;
   private refreshedAt = Number.NEGATIVE_INFINITY;
   private hidden = 0;
 
@@ -62,11 +63,6 @@
     return this.hidden > 0 || this.entries.size < this.members.size;
   }
 
-  /** Processors of the upstreams that take new runs, in thousandths. */
-  get totalCpuMillis(): number {
-    return this.cpuMillis;
-  }
-
   /** Share of the processors that runs take. */
   get usedShare(): number {
     return this.cpuMillis === 0 ? 0 : this.usedCpuMillis / this.cpuMillis;
@@ -77,6 +73,19 @@
     return this.fastest;
   }
 
+  /**
+   * Declared work that the pool does in a ms when all processors are used; work
+   * is declared run time multiplied by thousandths of a processor.
+   */
+  get declaredRate(): number {
+    return this.rate;
+  }
+
+  /** Time factor of the pool as a whole; 1 without upstreams. */
+  get meanFactor(): number {
+    return this.rate === 0 ? 1 : this.cpuMillis / this.rate;
+  }
+
   add(session: UpstreamSession): void {
     this.members.add(session);
     session.runs.use.onChange = () => this.capacityChanged(session);
@@ -118,6 +127,7 @@
     this.hidden = 0;
     this.cpuMillis = 0;
     this.usedCpuMillis = 0;
+    this.rate = 0;
     this.entries.clear();
     const rated: RatedSession[] = [];
     for (const session of this.members) {
@@ -127,15 +137,16 @@
     }
     rated.sort((a, b) => a.factor - b.factor);
     this.fastest = rated[0]?.factor ?? 1;
-    for (const {session} of rated) this.enter(session);
+    for (const each of rated) this.enter(each);
     this.plant(rated);
   }
 
-  private enter(session: UpstreamSession): void {
+  private enter({session, factor}: RatedSession): void {
     const {cpuMillis} = session.record;
     const {usedCpuMillis} = session.runs.use;
     this.entries.set(session, {places: [], cpuMillis, usedCpuMillis});
     this.cpuMillis += cpuMillis;
+    this.rate += cpuMillis / factor;
     this.usedCpuMillis += usedCpuMillis;
   }
 
--- a/packages/dispatch/src/owner/ready_queue.ts
+++ b/packages/dispatch/src/owner/ready_queue.ts
@@ -57,6 +57,8 @@
   readonly offer: (task: BoardTask, band: Band) => OfferResult;
   /** Drops the job of a worthless task; returns whether it did. */
   readonly drop: (task: BoardTask) => boolean;
+  /** Whether a job that has just become late can end while of worth. */
+  readonly canServeLate: (task: BoardTask) => boolean;
 }
 
 /**
@@ -73,12 +75,40 @@
     worthless: new Map(),
   };
   private count = 0;
+  private readonly work = new Map<Band, Map<number, number>>(
+    BANDS.map(band => [band, new Map<number, number>()]),
+  );
 
   /** Tasks queued; some may have left the ready phase since. */
   get size(): number {
     return this.count;
   }
 
+  /** Waiting work of jobs in time, up to a priority; see `workOf`. */
+  workInTime(priority: number): number {
+    let sum = 0;
+    for (const [other, work] of this.work.get('in-time') ?? []) {
+      if (other <= priority) sum += work;
+    }
+    return sum;
+  }
+
+  /** Waiting work of late jobs that are of worth. */
+  get workLate(): number {
+    let sum = 0;
+    for (const band of ['begun', 'late'] as const) {
+      for (const work of this.work.get(band)?.values() ?? []) sum += work;
+    }
+    return sum;
+  }
+
+  /** Takes a task off the waiting work; it may stay in a list until passed. */
+  discount(task: BoardTask): void {
+    if (task.queuedAs === null) return;
+    this.addWork(task.queuedAs, task, -1);
+    task.queuedAs = null;
+  }
+
   add(task: BoardTask): void {
     this.put('in-time', task);
   }
@@ -105,7 +135,7 @@
           const isReady = task.phase === 'ready';
           if (isReady && bandOf(task, pass) !== 'worthless') break;
           taken++;
-          this.count--;
+          this.leave(task);
           if (isReady && !pass.drop(task)) this.put('worthless', task);
         }
         list.splice(0, taken);
@@ -120,8 +150,9 @@
     let goesOn = true;
     while (goesOn && taken < list.length && passedOver < MAX_PASSED_OVER) {
       const task = list[taken++];
-      if (!task || task.phase !== 'ready') {
-        this.count--;
+      if (!task) break;
+      if (task.phase !== 'ready') {
+        this.leave(task);
         continue;
       }
       if (!pass.isOffered(task)) {
@@ -130,13 +161,13 @@
       }
       const due = bandOf(task, pass);
       if (BANDS.indexOf(due) > BANDS.indexOf(band)) {
-        this.count--;
-        if (due !== 'worthless' || !pass.drop(task)) this.put(due, task);
+        this.leave(task);
+        if (!isDropped(due, task, pass)) this.put(due, task);
         continue;
       }
       const result = pass.offer(task, band);
       if (result === 'placed') {
-        this.count--;
+        this.leave(task);
       } else {
         passedOver++;
         passed.push(task);
@@ -153,7 +184,30 @@
     if (list) list.push(task);
     else this.bands[band].set(priority, [task]);
     this.count++;
+    task.queuedAs = band;
+    this.addWork(band, task, 1);
   }
+
+  private leave(task: BoardTask): void {
+    this.count--;
+    this.discount(task);
+  }
+
+  private addWork(band: Band, task: BoardTask, sign: 1 | -1): void {
+    const {priority} = task.job.queue;
+    const sums = this.work.get(band);
+    sums?.set(priority, (sums.get(priority) ?? 0) + sign * workOf(task));
+  }
+}
+
+/** Declared run time multiplied by thousandths of a processor. */
+export function workOf({step}: BoardTask): number {
+  return step.declaredMs * step.cpuMillis;
+}
+
+function isDropped(due: Band, task: BoardTask, pass: OfferPass): boolean {
+  const isOfWorth = due === 'late' ? pass.canServeLate(task) : due === 'begun';
+  return !isOfWorth && pass.drop(task);
 }
 
 function bandOf({job, step}: BoardTask, {now, fastestFactor}: OfferPass): Band {
@@ -169,10 +223,10 @@
 function isNearlyStarted({tasks}: BoardJob): boolean {
   let total = 0;
   let waiting = 0;
-  for (const {step, phase} of tasks.flat()) {
-    const work = step.cpuMillis * step.declaredMs;
-    total += work;
-    if (phase !== 'active' && phase !== 'ended') waiting += work;
+  for (const task of tasks.flat()) {
+    const {phase} = task;
+    total += workOf(task);
+    if (phase !== 'active' && phase !== 'ended') waiting += workOf(task);
   }
   return waiting < LATE_WORTH * total;
 }
--- a/packages/dispatch/src/owner/run_starter.ts
+++ b/packages/dispatch/src/owner/run_starter.ts
@@ -6,8 +6,14 @@
 import type {OwnerActivity} from './owner_activity.js';
 import type {Placement, PlacementPolicy, Search} from './placement.js';
 import {PoolIndex, REFRESH_MS} from './pool_index.js';
-import {type Band, type OfferResult, OVERHEAD_MS} from './ready_queue.js';
+import {
+  type Band,
+  type OfferResult,
+  OVERHEAD_MS,
+  workOf,
+} from './ready_queue.js';
 import {RunProgress} from './run_progress.js';
+import {type EstimatedJob, ServiceEstimate} from './service_estimate.js';
 import type {TaskBoard} from './task_board.js';
 import type {UpstreamSession} from './upstream_session.js';
 import type {UpstreamSpeed} from './upstream_speed.js';
@@ -26,6 +32,11 @@
   readonly mayOrder: () => boolean;
 }
 
+/** A job of which nothing is known but its submission. */
+export interface NewJob extends EstimatedJob {
+  readonly pool: string;
+}
+
 /**
  * Share of the processors beyond which no task of a late job starts: what is
  * left serves the next jobs in time, which are worth five times as much.
@@ -38,6 +49,7 @@
 /** Owns the pools of upstreams. */
 export class RunStarter {
   private readonly pools = new Map<string, PoolIndex>();
+  private readonly estimates = new Map<PoolIndex, ServiceEstimate>();
   private retry: NodeJS.Timeout | null = null;
   private scheduled = false;
   private settled = false;
@@ -63,6 +75,16 @@
     return pool;
   }
 
+  /** Whether a new job can end while it is of worth. */
+  canServe(job: NewJob): boolean {
+    const queue = this.options.board.readyQueues.get(job.pool);
+    if (!queue || !this.settled) return true;
+    const now = performance.now();
+    const pool = this.pool(job.pool);
+    pool.refresh(now);
+    return this.estimate(pool).canServe(job, queue, now);
+  }
+
   /** Allows the start of jobs that an earlier owner may have started. */
   settle(): void {
     this.settled = true;
@@ -105,12 +127,17 @@
       const pool = this.pool(name);
       pool.refresh(now);
       const search = {pool, now};
+      const estimate = this.estimate(pool);
       queue.offerAll({
         now,
         fastestFactor: pool.fastestFactor,
         isOffered: task => this.settled || task.job.isNew,
         offer: (task, band) => this.offer(task, band, search),
         drop: task => this.drop(task),
+        canServeLate: ({job}) => {
+          const {priority} = job.queue;
+          return estimate.canServeLate({...job, priority}, queue, now);
+        },
       });
       if (queue.size > 0 && pool.isPartial) this.scheduleRetry();
       this.options.activity.took('pass', performance.now() - now);
@@ -146,10 +173,20 @@
     if (found.marginMs < 0 && isInTimeElsewhere(task, search)) {
       return 'passed-over';
     }
+    if (isLate) this.estimate(pool).noteLateStart(workOf(task), now);
     this.start(task, found, now);
     return 'placed';
   }
 
+  private estimate(pool: PoolIndex): ServiceEstimate {
+    let estimate = this.estimates.get(pool);
+    if (!estimate) {
+      estimate = new ServiceEstimate(pool);
+      this.estimates.set(pool, estimate);
+    }
+    return estimate;
+  }
+
   private start(task: BoardTask, found: Placement, now: number): void {
     const {session, expectedMs, marginMs} = found;
     const run: Run = {
--- /dev/null
+++ b/packages/dispatch/src/owner/service_estimate.ts
@@ -0,0 +1,72 @@
+/** Whether a job can still be served, by the work that waits before it. */
+import type {BoardJob} from './board_types.js';
+import type {PoolIndex} from './pool_index.js';
+import {OVERHEAD_MS, type ReadyQueue} from './ready_queue.js';
+
+/** What the estimate needs of a job. */
+export type EstimatedJob = Pick<
+  BoardJob,
+  'since' | 'waitsUntil' | 'objectiveMs' | 'chainMs'
+> & {readonly priority: number};
+
+/** Times its objective after which a job is worth nothing. */
+const WORTHLESS_FACTOR = 3;
+
+/**
+ * Time in ms that work in time may wait while late work is expected to get
+ * upstreams as well.
+ */
+const IDLE_WAIT_MS = 20;
+
+/** Time in ms over which the service of late work is averaged. */
+const AVERAGED_MS = 500;
+
+/** Least part of the pool that late work is expected to get. */
+const MIN_LATE_SHARE = 0.03;
+
+/** Follows how much late work the upstreams of a pool get beside other work. */
+export class ServiceEstimate {
+  private late = 0;
+  private lateAt = 0;
+
+  constructor(private readonly pool: PoolIndex) {}
+
+  /**
+   * Notes the start of a late task.
+   *
+   * @param work Declared time multiplied by the processors.
+   */
+  noteLateStart(work: number, now: number): void {
+    this.late = this.lateRate(now) + work / AVERAGED_MS;
+    this.lateAt = now;
+  }
+
+  /** Whether a job that has not begun can be in time, or late but of worth. */
+  canServe(job: EstimatedJob, queue: ReadyQueue, now: number): boolean {
+    const {pool} = this;
+    if (pool.size === 0) return true;
+    const waitMs = queue.workInTime(job.priority) / pool.declaredRate;
+    const runMs = job.chainMs * pool.meanFactor;
+    const endMs = now - job.since + waitMs + runMs + OVERHEAD_MS;
+    return endMs <= job.objectiveMs || this.canServeLate(job, queue, now);
+  }
+
+  /** Whether a job that has not begun can end late, but while of worth. */
+  canServeLate(job: EstimatedJob, queue: ReadyQueue, now: number): boolean {
+    const {pool} = this;
+    const rate = pool.declaredRate;
+    if (rate === 0) return true;
+    const inTimeMs = queue.workInTime(Infinity) / rate;
+    const isIdle = inTimeMs < IDLE_WAIT_MS;
+    const leastRate = MIN_LATE_SHARE * rate;
+    const lateRate = isIdle ? rate : Math.max(this.lateRate(now), leastRate);
+    const waitMs = inTimeMs + queue.workLate / lateRate;
+    const endAt = now + waitMs + job.chainMs * pool.fastestFactor;
+    const worthUntil = job.since + WORTHLESS_FACTOR * job.objectiveMs;
+    return endAt <= Math.min(worthUntil, job.waitsUntil);
+  }
+
+  private lateRate(now: number): number {
+    return this.late * Math.exp((this.lateAt - now) / AVERAGED_MS);
+  }
+}
--- a/packages/dispatch/src/owner/task_board.ts
+++ b/packages/dispatch/src/owner/task_board.ts
@@ -5,6 +5,7 @@
   type AdmittedJob,
   DONE,
   type JobProgress,
+  type JobRequest,
   type Step,
   taskKey,
 } from '../jobs/job_types.js';
@@ -121,7 +122,9 @@
     job.closed = true;
     this.jobs.delete(id);
     const runs: Run[] = [];
+    const queue = this.queues.get(job.admitted.pool);
     for (const task of job.tasks.flat()) {
+      queue?.discount(task);
       this.tasks.delete(task.key);
       task.phase = 'ended';
       if (task.run) runs.push(task.run);
@@ -149,7 +152,7 @@
       admitted,
       queue,
       ...arrival,
-      objectiveMs: queue.stretch * chainMs(admitted.steps) + queue.targetMs,
+      ...expectedTimes(admitted, queue),
       tasks,
       remaining: [],
       started: false,
@@ -203,6 +206,7 @@
       key: taskKey(id),
       job,
       step,
+      queuedAs: null,
       phase: failures === DONE ? 'ended' : 'blocked',
       run: null,
       lastRun: 0,
@@ -212,8 +216,16 @@
   });
 }
 
-/** Longest chain of declared run times. */
-function chainMs(steps: readonly Step[]): number {
+/** Longest chain of declared run times, and the objective from it, in ms. */
+export function expectedTimes(
+  {steps}: JobRequest,
+  {stretch, targetMs}: QueueConfig,
+): Pick<BoardJob, 'chainMs' | 'objectiveMs'> {
+  const chainMs = longestChainMs(steps);
+  return {chainMs, objectiveMs: stretch * chainMs + targetMs};
+}
+
+function longestChainMs(steps: readonly Step[]): number {
   const ends: number[] = [];
   for (const step of steps) {
     const starts = step.after.map(earlier => ends[earlier] ?? 0);
--- a/packages/dispatch/src/owner/transient_jobs.ts
+++ b/packages/dispatch/src/owner/transient_jobs.ts
@@ -29,6 +29,7 @@
 export class TransientJobs {
   private readonly waiting = new Map<string, Waiting>();
   private readonly answers = new Map<string, Reply>();
+  private readonly givenUp = new Set<string>();
 
   constructor(private readonly options: TransientJobsOptions) {
     options.dispatcher.onHopeless = id => this.abandon(id, 'worth nothing');
@@ -40,6 +41,11 @@
     return this.waiting.get(id)?.reply ?? this.answers.get(id);
   }
 
+  /** Whether an earlier submission of a job had begun before it was dropped. */
+  mayHaveRun(id: string): boolean {
+    return this.givenUp.has(id);
+  }
+
   /** Runs a job; resolves at the latest when its caller stops waiting. */
   submit(
     job: AdmittedJob,
@@ -60,7 +66,11 @@
     const {board, dispatcher, logger} = this.options;
     const job = board.job(id);
     if (!job || job.admitted.durable) return;
-    const started = job.started || job.tasks.flat().some(({run}) => run);
+    const started =
+      job.started ||
+      !job.isNew ||
+      this.mayHaveRun(id) ||
+      job.tasks.flat().some(({run}) => run);
     logger.info('job-abandoned', {
       job: id,
       cause,
@@ -68,6 +78,7 @@
       started,
     });
     dispatcher.drop(id);
+    if (started) this.rememberGivenUp(id);
     const reply: Reply = started
       ? {type: 'given-up'}
       : {type: 'refused', reason: 'not-in-time'};
@@ -81,6 +92,13 @@
     }
   }
 
+  private rememberGivenUp(id: string): void {
+    this.givenUp.add(id);
+    if (this.givenUp.size <= KEPT_ANSWERS) return;
+    const [oldest] = this.givenUp;
+    if (oldest !== undefined) this.givenUp.delete(oldest);
+  }
+
   private expire(id: string): void {
     this.abandon(id, 'patience over');
   }
--- /dev/null
+++ b/packages/dispatch/tests/owner/owner_overload.test.ts
@@ -0,0 +1,94 @@
+/** What callers are told when more is asked for than the upstreams bear. */
+import {expect} from 'chai';
+
+import type {Reply} from '../../src/messages/calls.js';
+import {OwnerHarness, step} from '../owner_harness.js';
+
+const STEPS = [step(2, {declaredMs: 400})];
+
+/** Longest time in ms until a refusal that needs no waiting. */
+const AT_ONCE_MS = 100;
+
+describe('Owner in overload', () => {
+  let harness: OwnerHarness;
+
+  beforeEach(async () => {
+    // Two tasks at a time, so one job; its objective is 860 ms.
+    harness = new OwnerHarness(1);
+    await harness.begin();
+    harness.upstream(0).runMs = 400;
+  });
+
+  afterEach(() => harness.close());
+
+  function submitAll(count: number): Promise<Reply>[] {
+    return Array.from({length: count}, (_, i) =>
+      harness.submit(`j${i}`, STEPS),
+    );
+  }
+
+  // Each job was held until its deadline, and the caller told then.
+  it('refuses at once what surely cannot end before its deadline', async () => {
+    let refused = 0;
+    const answers = submitAll(10);
+    for (const [i, answer] of answers.entries()) {
+      void answer.then(({type}) => {
+        if (type !== 'refused') return;
+        refused++;
+        expect(harness.spans.some(s => s.task.startsWith(`j${i}`))).to.equal(
+          false,
+        );
+      });
+    }
+    await harness.advance(AT_ONCE_MS);
+    // Three jobs of 400 ms end before 1,500 ms; one more may seem to.
+    expect(refused).to.be.at.least(6);
+    const replies = await harness.settled(Promise.all(answers));
+    const ended = replies.filter(({type}) => type === 'ended');
+    expect(ended).to.have.length.at.least(3);
+  });
+
+  it('takes what can end late, but before its deadline, while there is room', async () => {
+    const first = harness.submit('first', STEPS);
+    await harness.advance(20);
+    const second = harness.submit('second', [step(2, {declaredMs: 900})]);
+    expect(await harness.settled(first)).to.have.property('type', 'ended');
+    expect(await harness.settled(second)).to.have.property('type', 'ended');
+  });
+
+  it('takes jobs again once the work before them is done', async () => {
+    const answers = submitAll(10);
+    await harness.settled(Promise.all(answers));
+    await harness.advance(100);
+    const reply = await harness.settled(harness.submit('new', STEPS));
+    expect(reply).to.deep.equal({type: 'ended', state: 'completed'});
+  });
+
+  it('lets a repeated submission join a job that is open', async () => {
+    const answers = submitAll(10);
+    await harness.advance(20);
+    const again = harness.submit('j0', STEPS);
+    expect(await harness.settled(again)).to.have.property('type', 'ended');
+    await harness.settled(Promise.all(answers));
+  });
+
+  it('does not say of a job that had begun earlier that it never ran', async () => {
+    harness.upstream(0).runMs = 5_000;
+    const first = harness.submit('a', STEPS);
+    expect(await harness.settled(first)).to.deep.equal({type: 'given-up'});
+    harness.upstream(0).runMs = 400;
+    const others = submitAll(10);
+    await harness.advance(20);
+    const again = await harness.settled(harness.submit('a', STEPS));
+    expect(again).to.deep.equal({type: 'given-up'});
+    await harness.settled(Promise.all(others));
+  });
+
+  it('does not refuse jobs that are stored', async () => {
+    const answers = submitAll(10);
+    await harness.advance(20);
+    const reply = await harness.settled(harness.store('stored', STEPS));
+    expect(reply).to.deep.equal({type: 'accepted'});
+    await harness.settled(Promise.all(answers));
+  });
+});
--- a/packages/dispatch/tests/owner/ready_queue.test.ts
+++ b/packages/dispatch/tests/owner/ready_queue.test.ts
@@ -46,6 +46,7 @@
   now: number,
   result: (task: BoardTask) => OfferResult = () => 'placed',
   drops = false,
+  servesLate = true,
 ): string[] {
   const seen: string[] = [];
   queue.offerAll({
@@ -61,6 +62,7 @@
       seen.push(`${task.id.job} dropped`);
       return true;
     },
+    canServeLate: () => servesLate,
   });
   return seen;
 }
@@ -138,6 +140,27 @@
     expect(queue.size).to.equal(0);
   });
 
+  // Such jobs were held until they were worth nothing, and refused then.
+  it('drops jobs that become late while no late work is served', () => {
+    add('late', {since: 0});
+    add('begun', {since: 0, started: true});
+    const seen = offered(queue, 200, () => 'full', true, false);
+    expect(seen).to.deep.equal(['late dropped', 'begun begun']);
+  });
+
+  it('sums up the work that waits, by band and priority', () => {
+    const work = 100 * 1_000;
+    add('a', {tasks: 2});
+    add('b', {priority: 1});
+    expect(queue.workInTime(0)).to.equal(2 * work);
+    expect(queue.workInTime(1)).to.equal(3 * work);
+    offered(queue, 200, () => 'full');
+    expect(queue.workInTime(1)).to.equal(0);
+    expect(queue.workLate).to.equal(3 * work);
+    offered(queue, 200);
+    expect(queue.workLate).to.equal(0);
+  });
+
   it('drops late jobs in time when no upstream has room', () => {
     add('late', {since: 0});
     add('begun', {since: 0, started: true, waitsUntil: 900});
