Read a link's answer before the link counts as silent

A process that was late itself could drop connections whose answers it had not read yet, and with them all calls that were open on them; the same class as a leader that gave up for its own delay. The check of a link runs in a timer, and timers run before input is read: after a turn of the event loop above 450 ms with a ping open, the check ended the link although the pong was in its socket.

The check now lets the input of its turn be read before it ends the link.

--- a/packages/links/src/frame_channel.ts
+++ b/packages/links/src/frame_channel.ts
@@ -105,12 +105,20 @@
   private check(): void {
     const {pingAfterMs, silenceMs} = this.watch;
     const quietMs = performance.now() - this.heardAt;
-    if (this.pinged && quietMs >= silenceMs) return this.end();
+    if (this.pinged && quietMs >= silenceMs) return this.endUnlessHeard();
     if (quietMs < pingAfterMs) return;
     this.pinged = true;
     if (this.socket.readyState === WebSocket.OPEN) this.socket.ping();
   }
 
+  /** Timers run before input is read: a late check may precede the answer. */
+  private endUnlessHeard(): void {
+    setImmediate(() => {
+      const quietMs = performance.now() - this.heardAt;
+      if (quietMs >= this.watch.silenceMs) this.end();
+    });
+  }
+
   private end(): void {
     if (this.closed) return;
     this.closed = true;
