--- a/packages/dispatch/tests/owner/owner_activity.test.ts
+++ b/packages/dispatch/tests/owner/owner_activity.test.ts
@@ -31,6 +31,7 @@
     activity.count('unanswered');
     expect(activity.take()).to.deep.equal({
       offered: 0,
+      examined: 0,
       started: 0,
       startedLate: 0,
       unanswered: 1,
