Make up for a scheduling pass that a pause prevented

Callers got a refusal after 0.9 s with upstreams free: a job accepted just before the owner could not order for 5 ms was never offered an upstream.

--- a/packages/dispatch/src/owner/run_starter.ts
+++ b/packages/dispatch/src/owner/run_starter.ts
@@ -116,7 +116,9 @@
     this.scheduled = true;
     setImmediate(() => {
       this.scheduled = false;
-      if (!this.closed && this.options.mayOrder()) this.startReady();
+      if (this.closed) return;
+      if (this.options.mayOrder()) this.startReady();
+      else this.scheduleRetry();
     });
   }
 
@@ -144,7 +146,7 @@
     }
   }
 
-  /** Upstreams that were left out may take runs again without an event. */
+  /** Orders, or upstreams that were left out, may be possible again soon. */
   private scheduleRetry(): void {
     this.retry ??= setTimeout(() => {
       this.retry = null;
