Don't call a job not run whose start had no answer

Callers got a refusal that says a job never ran, though its run had begun: the answer to the start was lost, and a new life took the upstream's address before the run was looked up. Cause: a run that ended without an entry left its job marked as not begun. Change: such a job counts as begun; only a refused start proves the contrary. Result: found by review; the test fails without the change (refused instead of given-up) and passes with it.

--- a/packages/dispatch/src/owner/lost_runs.ts
+++ b/packages/dispatch/src/owner/lost_runs.ts
@@ -33,6 +33,8 @@
   lost(run: Run, cause: string): void {
     const {board, outcomes, logger, metrics, schedule} = this.options;
     const {task, session} = run;
+    // Only a refusal proves that a run has not begun.
+    task.job.started = true;
     logger.warn('run-lost', {...describe(run), cause});
     metrics.increment('runs.lost');
     outcomes.release(run);
--- a/packages/dispatch/tests/owner/owner_moments.test.ts
+++ b/packages/dispatch/tests/owner/owner_moments.test.ts
@@ -1,7 +1,8 @@
 /** Short interruptions of an owner or its upstreams, as callers see them. */
 import {expect} from 'chai';
 
-import {OwnerHarness} from '../owner_harness.js';
+import {FakeUpstream} from '../fake_upstreams.js';
+import {OwnerHarness, step} from '../owner_harness.js';
 
 describe('Owner at short interruptions', () => {
   let harness: OwnerHarness;
@@ -30,4 +31,22 @@
       });
     });
   }
+
+  // The run had begun, and its upstream was replaced before this was known.
+  it('does not say that a job has not run whose start had no answer', async () => {
+    await begin(1);
+    const upstream = harness.upstream(0);
+    upstream.runMs = 400;
+    upstream.fate = kind => {
+      if (kind === 'start') return 'answer-lost';
+      return kind === 'hold' ? 'lost' : 'delivered';
+    };
+    const steps = [step(1, {declaredMs: 400})];
+    const reply = harness.submit('a', steps);
+    await harness.advance(10);
+    const next = new FakeUpstream('next', upstream.address, harness.spans);
+    await harness.announce(next, true);
+    expect(harness.spans).to.have.length(1);
+    expect((await harness.settled(reply)).type).to.equal('given-up');
+  });
 });
