Refuse no job for a moment in which upstreams miss an answer

Callers got refusals that were not due: nine of ten upstreams missed one hold each, and 8 of 12 waiting jobs were refused, none without the loss. Cause: the estimate of what can be served took the capacity of upstreams that accept runs at this moment, and judged jobs as they became late while others of the same age still counted as work in time before them. Change: upstreams that are expected back count in the estimate; late jobs are judged at the next pass, when those before are sorted out.

--- a/packages/dispatch/src/owner/pool_index.ts
+++ b/packages/dispatch/src/owner/pool_index.ts
@@ -41,6 +41,7 @@
   private usedCpuMillis = 0;
   private fastest = 1;
   private rate = 0;
+  private expectedCpuMillis = 0;
   private refreshedAt = Number.NEGATIVE_INFINITY;
   private hidden = 0;
 
@@ -75,7 +76,8 @@
 
   /**
    * Declared work that the pool does in a ms when all processors are used; work
-   * is declared run time multiplied by thousandths of a processor.
+   * is declared run time multiplied by thousandths of a processor. Upstreams
+   * that don't answer for a moment count.
    */
   get declaredRate(): number {
     return this.rate;
@@ -83,7 +85,7 @@
 
   /** Time factor of the pool as a whole; 1 without upstreams. */
   get meanFactor(): number {
-    return this.rate === 0 ? 1 : this.cpuMillis / this.rate;
+    return this.rate === 0 ? 1 : this.expectedCpuMillis / this.rate;
   }
 
   add(session: UpstreamSession): void {
@@ -128,12 +130,16 @@
     this.cpuMillis = 0;
     this.usedCpuMillis = 0;
     this.rate = 0;
+    this.expectedCpuMillis = 0;
     this.entries.clear();
     const rated: RatedSession[] = [];
     for (const session of this.members) {
       this.activity.count('examined');
-      if (!session.accepts) continue;
-      rated.push({session, factor: this.speed.factor(session.key, now)});
+      if (!session.isExpected) continue;
+      const factor = this.speed.factor(session.key, now);
+      this.rate += session.record.cpuMillis / factor;
+      this.expectedCpuMillis += session.record.cpuMillis;
+      if (session.accepts) rated.push({session, factor});
     }
     rated.sort((a, b) => a.factor - b.factor);
     this.fastest = rated[0]?.factor ?? 1;
@@ -141,12 +147,11 @@
     this.plant(rated);
   }
 
-  private enter({session, factor}: RatedSession): void {
+  private enter({session}: RatedSession): void {
     const {cpuMillis} = session.record;
     const {usedCpuMillis} = session.runs.use;
     this.entries.set(session, {places: [], cpuMillis, usedCpuMillis});
     this.cpuMillis += cpuMillis;
-    this.rate += cpuMillis / factor;
     this.usedCpuMillis += usedCpuMillis;
   }
 
--- a/packages/dispatch/src/owner/ready_queue.ts
+++ b/packages/dispatch/src/owner/ready_queue.ts
@@ -57,7 +57,7 @@
   readonly offer: (task: BoardTask, band: Band) => OfferResult;
   /** Drops the job of a worthless task; returns whether it did. */
   readonly drop: (task: BoardTask) => boolean;
-  /** Whether a job that has just become late can end while of worth. */
+  /** Whether a late job that has not begun can end while of worth. */
   readonly canServeLate: (task: BoardTask) => boolean;
 }
 
@@ -133,7 +133,7 @@
         let taken = 0;
         for (const task of list) {
           const isReady = task.phase === 'ready';
-          if (isReady && bandOf(task, pass) !== 'worthless') break;
+          if (isReady && isOfWorth(task, band, pass)) break;
           taken++;
           this.leave(task);
           if (isReady && !pass.drop(task)) this.put('worthless', task);
@@ -162,7 +162,7 @@
       const due = bandOf(task, pass);
       if (BANDS.indexOf(due) > BANDS.indexOf(band)) {
         this.leave(task);
-        if (!isDropped(due, task, pass)) this.put(due, task);
+        if (due !== 'worthless' || !pass.drop(task)) this.put(due, task);
         continue;
       }
       const result = pass.offer(task, band);
@@ -205,9 +205,13 @@
   return step.declaredMs * step.cpuMillis;
 }
 
-function isDropped(due: Band, task: BoardTask, pass: OfferPass): boolean {
-  const isOfWorth = due === 'late' ? pass.canServeLate(task) : due === 'begun';
-  return !isOfWorth && pass.drop(task);
+/**
+ * Judged once the passes before have sorted out what is late: while others that
+ * became late at the same moment count as in time, little seems left for it.
+ */
+function isOfWorth(task: BoardTask, band: Band, pass: OfferPass): boolean {
+  if (bandOf(task, pass) === 'worthless') return false;
+  return band !== 'late' || pass.canServeLate(task);
 }
 
 function bandOf({job, step}: BoardTask, {now, fastestFactor}: OfferPass): Band {
--- a/packages/dispatch/src/owner/upstream_session.ts
+++ b/packages/dispatch/src/owner/upstream_session.ts
@@ -73,13 +73,16 @@
 
   /** Whether new runs may be started. */
   get accepts(): boolean {
-    return (
-      this.state === 'live' &&
-      this.failures === 0 &&
-      !this.record.leaving &&
-      !this.retiring &&
-      !this.closed
-    );
+    return this.state === 'live' && this.failures === 0 && this.isStaying;
+  }
+
+  /** Whether runs are expected here, now or after a moment without contact. */
+  get isExpected(): boolean {
+    return (this.state === 'live' || this.state === 'silent') && this.isStaying;
+  }
+
+  private get isStaying(): boolean {
+    return !this.record.leaving && !this.retiring && !this.closed;
   }
 
   /** Takes a changed announcement of the same life. */
--- a/packages/dispatch/tests/owner/owner_moments.test.ts
+++ b/packages/dispatch/tests/owner/owner_moments.test.ts
@@ -49,4 +49,30 @@
     expect(harness.spans).to.have.length(1);
     expect((await harness.settled(reply)).type).to.equal('given-up');
   });
+
+  // Capacity seemed gone for the moment in which nine holds had no answer.
+  it('refuses no job because upstreams missed one hold each', async () => {
+    await begin(10);
+    for (const each of harness.upstreams) each.runMs = 200;
+    const replies: string[] = [];
+    const submit = (id: string) => {
+      void harness
+        .submit(id, [step(1, {declaredMs: 200})])
+        .then(({type}) => replies.push(type));
+    };
+    for (let i = 0; i < 20; i++) submit(`a${i}`);
+    await harness.advance(5);
+    for (let i = 0; i < 12; i++) submit(`b${i}`);
+    for (const each of harness.upstreams.slice(1)) {
+      let isFirst = true;
+      each.fate = kind => {
+        if (kind !== 'hold' || !isFirst) return 'delivered';
+        isFirst = false;
+        return 'lost';
+      };
+    }
+    await harness.advance(3_000);
+    expect(replies).to.have.length(32);
+    expect(replies.filter(type => type === 'refused')).to.deep.equal([]);
+  });
 });
