Count waiting work once for a task that is queued again

Callers could get refusals for work that nobody waited for: a task that was adopted while in the queue, then lost and queued again, was added twice to the waiting work and taken off once, until the end of the term. Change: a task is taken off the sums before it is added. Result: found by review; the test fails without the change (200,000 instead of 100,000 waiting) and passes with it.

--- a/packages/dispatch/src/owner/ready_queue.ts
+++ b/packages/dispatch/src/owner/ready_queue.ts
@@ -184,6 +184,8 @@
     if (list) list.push(task);
     else this.bands[band].set(priority, [task]);
     this.count++;
+    // A task whose run was lost may still be in the list of its first wait.
+    this.discount(task);
     task.queuedAs = band;
     this.addWork(band, task, 1);
   }
--- a/packages/dispatch/tests/owner/ready_queue.test.ts
+++ b/packages/dispatch/tests/owner/ready_queue.test.ts
@@ -38,7 +38,10 @@
     () => undefined,
   );
   job.started = started;
-  return job.tasks.flat();
+  const created = job.tasks.flat();
+  // They wait in the board's own queue, not yet in that of the test.
+  for (const task of created) task.queuedAs = null;
+  return created;
 }
 
 function offered(
@@ -163,6 +166,20 @@
     expect(queue.workLate).to.equal(0);
   });
 
+  // Such work seemed to wait for ever, and later jobs were refused for it.
+  it('counts the work of a task once that is queued again before it was passed', () => {
+    const [task] = tasksOf('a');
+    if (!task) throw new Error('no task');
+    queue.add(task);
+    queue.add(task);
+    expect(queue.workInTime(0)).to.equal(100 * 1_000);
+    offered(queue, 1, each => {
+      each.phase = 'active';
+      return 'placed';
+    });
+    expect(queue.workInTime(0)).to.equal(0);
+  });
+
   it('drops late jobs in time when no upstream has room', () => {
     add('late', {since: 0});
     add('begun', {since: 0, started: true, waitsUntil: 900});
