Hold a member for late only if others answer; one link for its orders

Change: orders take detours, and holds are repeated, only while a member that owes an outcome is silent for 160 ms and another one is not. An overdue outcome is checked again until it comes. The four connections for orders to each member become one: orders of one turn then share a frame, so that keeping them apart from the log costs the leader no more frames. That a lost packet delays all orders of one member is left; it leads to no repetition any more.

Test: 'repeats nothing and keeps its paths while no member answers' fails before, with one repetition for each upstream.

--- a/packages/dispatch/src/instance/order_links.ts
+++ b/packages/dispatch/src/instance/order_links.ts
@@ -7,80 +7,59 @@
   OrderOutcomeMessage,
 } from '../messages/order_messages.js';
 import type {PeerMessage} from '../messages/peer_messages.js';
-import {hashOf} from './hash.js';
 
 /** Options of the links. */
 export interface OrderLinksOptions {
   /** Sends on the connection that the log and calls use. */
   readonly sendBeside: (carrier: string, message: OrderMessage) => boolean;
   readonly onOutcome: (carrier: string, message: OrderOutcomeMessage) => void;
-  /** Told of a connection that ended, with the upstreams that used it. */
-  readonly onLost: (
-    carrier: string,
-    concerns: (upstream: string) => boolean,
-  ) => void;
+  readonly onLost: (carrier: string) => void;
   readonly logger: Logger;
 }
 
 /**
- * Connections for the orders to one member. A lost packet delays what follows
- * on its connection only, so more of them delay fewer orders; beyond four the
- * gain is small against the cost of a frame.
- */
-const LINKS_PER_CARRIER = 4;
-
-/**
- * Keeps orders off the connection of the log, whose heartbeats would wait
- * behind them for a lost packet. The orders for one upstream share a
- * connection and so keep their order.
+ * Keeps orders off the connection of the log, whose heartbeats would wait with
+ * them for a lost packet. There is one for each member, as orders of one turn
+ * then share a frame, which is most of their cost.
  */
 export class OrderLinks {
-  private readonly byCarrier = new Map<string, FrameLink<PeerMessage>[]>();
+  private readonly links = new Map<string, FrameLink<PeerMessage>>();
 
   constructor(private readonly options: OrderLinksOptions) {}
 
   /** Returns false if the message surely did not leave. */
   send(carrier: string, message: OrderMessage): boolean {
-    const links = this.byCarrier.get(carrier) ?? this.open(carrier);
-    const link = links[indexOf(message.to.id)];
-    if (link?.send(message)) return true;
-    return this.options.sendBeside(carrier, message);
+    const link = this.links.get(carrier) ?? this.open(carrier);
+    return link.send(message) || this.options.sendBeside(carrier, message);
   }
 
-  /** Ends the connections to a member that is not reached any more. */
+  /** Ends the connection to a member that is not reached any more. */
   lost(carrier: string): void {
-    const links = this.byCarrier.get(carrier) ?? [];
-    this.byCarrier.delete(carrier);
-    for (const link of links) link.close();
+    const link = this.links.get(carrier);
+    this.links.delete(carrier);
+    link?.close();
   }
 
   /** Ends all connections; further orders open them again. */
   close(): void {
-    for (const carrier of [...this.byCarrier.keys()]) this.lost(carrier);
+    for (const carrier of [...this.links.keys()]) this.lost(carrier);
   }
 
-  private open(carrier: string): readonly FrameLink<PeerMessage>[] {
+  private open(carrier: string): FrameLink<PeerMessage> {
     const {onOutcome, onLost, logger} = this.options;
-    const links = Array.from({length: LINKS_PER_CARRIER}, (_, index) => {
-      const link = new FrameLink<PeerMessage>({
-        address: carrier,
-        onMessage: message => {
-          if (message.type === 'order-outcome') onOutcome(carrier, message);
-        },
-        onUp: () => undefined,
-        onDown: () => onLost(carrier, id => indexOf(id) === index),
-        onMalformed: err =>
-          logger.warn('member-message-malformed', {peer: carrier, err}),
-      });
-      // The connection of the log notices a silent member soon.
-      link.setWatch(LOOSE_WATCH);
-      return link;
+    const link = new FrameLink<PeerMessage>({
+      address: carrier,
+      onMessage: message => {
+        if (message.type === 'order-outcome') onOutcome(carrier, message);
+      },
+      onUp: () => undefined,
+      onDown: () => onLost(carrier),
+      onMalformed: err =>
+        logger.warn('member-message-malformed', {peer: carrier, err}),
     });
-    this.byCarrier.set(carrier, links);
-    return links;
+    // The connection of the log notices a silent member soon.
+    link.setWatch(LOOSE_WATCH);
+    this.links.set(carrier, link);
+    return link;
   }
 }
-
-function indexOf(upstream: string): number {
-  return hashOf(upstream) % LINKS_PER_CARRIER;
-}
--- a/packages/dispatch/src/instance/order_paths.ts
+++ b/packages/dispatch/src/instance/order_paths.ts
@@ -1,7 +1,6 @@
 /** Choice of the member that carries the orders for an upstream. */
 import {type UpstreamTarget} from '../upstreams/upstream_port.js';
 import {lifeKey} from '../upstreams/upstream_types.js';
-import {hashOf} from './hash.js';
 
 /** A member that can carry orders. */
 export interface Carrier {
@@ -145,3 +144,12 @@
   if (path !== null) way.used.add(path);
   return path;
 }
+
+/** FNV-1a over UTF-16 code units: spreads similar keys. */
+function hashOf(text: string): number {
+  let hash = 0x811c9dc5;
+  for (let i = 0; i < text.length; i++) {
+    hash = Math.imul(hash ^ text.charCodeAt(i), 0x01000193) >>> 0;
+  }
+  return hash;
+}
--- a/packages/dispatch/src/instance/order_relay.ts
+++ b/packages/dispatch/src/instance/order_relay.ts
@@ -38,7 +38,7 @@
     this.links = new OrderLinks({
       ...options,
       onOutcome: (carrier, message) => this.outcome(carrier, message),
-      onLost: (carrier, concerns) => this.port.lost(carrier, concerns),
+      onLost: carrier => this.port.lost(carrier),
     });
     this.port = new RelayedPort({
       ...options,
--- a/packages/dispatch/src/instance/relayed_port.ts
+++ b/packages/dispatch/src/instance/relayed_port.ts
@@ -42,6 +42,12 @@
 /** Usual time in ms for the way to a member and back. */
 const HOP_MS = 40;
 
+/**
+ * Silence in ms of a member after which orders take detours: as long as a hold
+ * waits for an end, and the way.
+ */
+const QUIET_MS = 160;
+
 /**
  * Longest time in ms for that way. It exceeds the silence after which a
  * connection counts as lost, as until then the outcome may only be late: one
@@ -51,8 +57,7 @@
 
 interface Pending {
   readonly carrier: string;
-  /** Id of the upstream. */
-  readonly upstream: string;
+  readonly sentAt: number;
   readonly settle: (outcome: OrderOutcome) => void;
   /** Ends the wait without an outcome. */
   readonly drop: () => void;
@@ -66,8 +71,8 @@
   /** Time after which no outcome is waited for. */
   readonly endsAt: number;
   readonly onOutcome: (outcome: OrderOutcome) => void;
-  /** Told once, when the outcome takes longer than usual. */
-  readonly onOverdue: () => void;
+  /** Told repeatedly while the outcome is overdue and the member quiet. */
+  readonly onQuiet: () => void;
 }
 
 type CarriedOutcome = OrderOutcome & {readonly carrier: string};
@@ -123,18 +128,11 @@
     this.pending.get(id)?.settle(outcome);
   }
 
-  /**
-   * A connection to a member ended; what it carried may still arrive.
-   *
-   * @param concerns Whether the orders for an upstream used it.
-   */
-  lost(
-    carrier: string,
-    concerns: (upstream: string) => boolean = () => true,
-  ): void {
+  /** A connection to a member ended; what it carried may still arrive. */
+  lost(carrier: string): void {
     this.paths.noteHeard(carrier);
     for (const each of [...this.pending.values()]) {
-      if (each.carrier !== carrier || !concerns(each.upstream)) continue;
+      if (each.carrier !== carrier) continue;
       each.settle({type: 'unanswered', cause: `${carrier} disconnected`});
     }
   }
@@ -167,7 +165,7 @@
     const endsAt = performance.now() + content.order.timeoutMs + LONGEST_HOP_MS;
     return new Promise(resolve => {
       const open = new Set<number>();
-      const send = (by: string, what: OrderContent, onOverdue: () => void) => {
+      const send = (by: string, what: OrderContent, onQuiet: () => void) => {
         const id = this.nextId++;
         open.add(id);
         const onOutcome = (outcome: OrderOutcome) => {
@@ -180,12 +178,15 @@
           resolve({...outcome, carrier: by});
         };
         const attempt = {carrier: by, to, content: what, endsAt};
-        this.send(id, {...attempt, onOutcome, onOverdue});
+        this.send(id, {...attempt, onOutcome, onQuiet});
       };
+      let isRepeated = false;
       send(carrier, content, () => {
-        if (content.kind !== 'hold' || !this.budget.take()) return;
+        if (isRepeated || content.kind !== 'hold') return;
         const other = this.paths.alternative(to, carrier);
-        if (other !== null) send(other, withoutWait(content), () => undefined);
+        if (other === null || !this.budget.take()) return;
+        isRepeated = true;
+        send(other, withoutWait(content), () => undefined);
       });
     });
   }
@@ -204,26 +205,46 @@
     // Outcomes that arrived while the process was busy are read first.
     const arm = (ms: number, due: () => void) =>
       setTimeout(() => setImmediate(() => this.pending.has(id) && due()), ms);
-    let timer = arm(content.order.timeoutMs + HOP_MS, () => {
-      timer = arm(attempt.endsAt - performance.now(), () => {
+    const check = () => {
+      if (performance.now() >= attempt.endsAt) {
         this.paths.noteHeard(carrier);
         settle({type: 'unanswered', cause: 'no outcome in time'});
-      });
-      this.checkCarrier(carrier, sentAt);
-      attempt.onOverdue();
-    });
-    this.pending.set(id, {carrier, upstream: to.id, settle, drop});
+        return;
+      }
+      timer = arm(HOP_MS, check);
+      if (this.isQuiet(carrier, sentAt)) attempt.onQuiet();
+    };
+    let timer = arm(content.order.timeoutMs + HOP_MS, check);
+    this.pending.set(id, {carrier, sentAt, settle, drop});
     const message: OrderMessage = {type: 'order', id, to, content};
     if (this.options.send(carrier, message)) return;
     settle({type: 'not-sent', cause: 'not connected'});
   }
 
-  /** Avoids a member that has told nothing since an order was sent. */
-  private checkCarrier(carrier: string, sentAt: number): void {
+  /** Whether a member that owes the outcome of an order tells nothing. */
+  private isQuiet(carrier: string, sentAt: number): boolean {
     const heardAt = this.heardAt.get(carrier) ?? 0;
-    if (heardAt >= sentAt || !this.paths.noteQuiet(carrier)) return;
-    const silentMs = Math.round(performance.now() - sentAt);
-    this.options.logger.warn('order-carrier-avoided', {carrier, silentMs});
+    const silentMs = Math.round(performance.now() - Math.max(heardAt, sentAt));
+    if (silentMs < QUIET_MS) return false;
+    if (!this.othersAnswer(carrier, sentAt)) return false;
+    if (this.paths.noteQuiet(carrier)) {
+      this.options.logger.warn('order-carrier-avoided', {carrier, silentMs});
+    }
+    return true;
+  }
+
+  /** Where no member answers, this process or its machine may be the late one. */
+  private othersAnswer(carrier: string, sentAt: number): boolean {
+    const waiting = new Set<string>();
+    for (const each of this.pending.values()) {
+      const heardAt = this.heardAt.get(each.carrier) ?? 0;
+      if (each.sentAt <= sentAt && heardAt < each.sentAt) {
+        waiting.add(each.carrier);
+      }
+    }
+    return this.options
+      .carriers()
+      .some(({address}) => address !== carrier && !waiting.has(address));
   }
 }
 
