Leave time for longer runs where fast upstreams are saved

What callers saw: in a busy pool long jobs ended after their deadline, though faster upstreams had room.

Cause: while room is scarce a task goes to the slowest upstream that meets the objective by 15 ms. A run of a second that took 2 % longer than expected was late; run times and declared times vary by a third.

The margin is now also at least a quarter of the expected run time. It decides only which upstream is preferred.

--- a/packages/dispatch/src/owner/placement.ts
+++ b/packages/dispatch/src/owner/placement.ts
@@ -7,8 +7,12 @@
 import type {RoomTree} from './room_tree.js';
 import type {UpstreamSession} from './upstream_session.js';
 
-/** Margin in milliseconds below which an upstream counts as too slow. */
+/**
+ * Margin below which an upstream counts as too slow: in milliseconds, and as a
+ * part of the expected run time, as run times vary by more than a third.
+ */
 const MIN_MARGIN_MS = 15;
+const MIN_MARGIN_PART = 0.25;
 
 /** Share of the capacity in use above which fast upstreams are saved. */
 const SCARCE_SHARE = 0.6;
@@ -67,7 +71,11 @@
     if (isScarce(pool)) {
       const declaredMs = step.declaredMs * (isNear ? 1 : this.remoteFactor);
       const leftMs = job.objectiveMs - (now - job.since) - OVERHEAD_MS;
-      let to = tree.lastWithin((leftMs - MIN_MARGIN_MS) / declaredMs);
+      const longestMs = Math.min(
+        leftMs - MIN_MARGIN_MS,
+        leftMs / (1 + MIN_MARGIN_PART),
+      );
+      let to = tree.lastWithin(longestMs / declaredMs);
       while ((to = tree.previous(step, to)) >= 0) {
         const found = this.takeLike(task, search, tree, to);
         if (found) return found;
@@ -153,10 +161,14 @@
 }
 
 function isBetter(a: Placement, b: Placement, scarce: boolean): boolean {
-  const aMeets = a.marginMs >= MIN_MARGIN_MS;
-  const bMeets = b.marginMs >= MIN_MARGIN_MS;
+  const aMeets = hasMargin(a);
+  const bMeets = hasMargin(b);
   if (aMeets !== bMeets) return aMeets;
   return scarce && aMeets
     ? a.expectedMs > b.expectedMs
     : a.expectedMs < b.expectedMs;
 }
+
+function hasMargin({marginMs, expectedMs}: Placement): boolean {
+  return marginMs >= Math.max(MIN_MARGIN_MS, MIN_MARGIN_PART * expectedMs);
+}
