Refuse no job by learned run times alone while upstreams are free

Cause, by a test: the learned speed of upstreams holds the delay of orders and ends. Where these are slow, no upstream seems fast enough for a job to end before its deadline, and it was refused with nothing queued. That this is the whole cause in that run isn't shown.

Jobs are refused by an estimate only for work that waits before them, and dropped as surely too late only by declared times, or shorter learned ones. The new test failed before.

--- a/packages/dispatch/src/owner/ready_queue.ts
+++ b/packages/dispatch/src/owner/ready_queue.ts
@@ -219,7 +219,9 @@
 function bandOf({job, step}: BoardTask, {now, fastestFactor}: OfferPass): Band {
   const elapsedMs = now - job.since;
   const runMs = step.declaredMs * fastestFactor;
-  if (now + runMs * SURE_PART > job.waitsUntil) return 'worthless';
+  // Learned times hold delays of orders and ends, so only gains are sure.
+  const sureMs = step.declaredMs * Math.min(1, fastestFactor) * SURE_PART;
+  if (now + sureMs > job.waitsUntil) return 'worthless';
   if (elapsedMs + runMs + OVERHEAD_MS <= job.objectiveMs) return 'in-time';
   if (job.started) return isNearlyStarted(job) ? 'in-time' : 'begun';
   const isWorthless = elapsedMs > job.objectiveMs * WORTHLESS_FACTOR;
--- a/packages/dispatch/src/owner/service_estimate.ts
+++ b/packages/dispatch/src/owner/service_estimate.ts
@@ -58,6 +58,7 @@
     if (rate === 0) return true;
     const inTimeMs = queue.workInTime(Infinity) / rate;
     const isIdle = inTimeMs < IDLE_WAIT_MS;
+    if (isIdle && queue.workLate / rate < IDLE_WAIT_MS) return true;
     const leastRate = MIN_LATE_SHARE * rate;
     const lateRate = isIdle ? rate : Math.max(this.lateRate(now), leastRate);
     const waitMs = inTimeMs + queue.workLate / lateRate;
--- a/packages/dispatch/tests/owner/owner_overload.test.ts
+++ b/packages/dispatch/tests/owner/owner_overload.test.ts
@@ -56,6 +56,15 @@
     expect(await harness.settled(second)).to.have.property('type', 'ended');
   });
 
+  // Slow orders made upstreams look too slow for any job.
+  it('refuses nothing by learned times alone while upstreams are free', async () => {
+    for (let i = 0; i < 12; i++) {
+      await harness.settled(harness.submit(`s${i}`, [step(1)]));
+    }
+    const answer = harness.submit('new', [step(1, {declaredMs: 400})]);
+    expect(await harness.settled(answer)).to.have.property('type', 'ended');
+  });
+
   it('takes jobs again once the work before them is done', async () => {
     const answers = submitAll(10);
     await harness.settled(Promise.all(answers));
