Send heartbeats in the turn of the event loop in which they are due

The timer of the log let the input of its turn be read before each tick, also on a leader. What a leader sends after reading leaves one whole turn of the event loop later, as a link flushes in the same phase: up to 250 ms on a new leader, half an election timeout.

A leader's tick now runs in the timer; only a member that would campaign reads first.

Test: late_members.test.ts, "a heartbeat goes out in the turn in which it is due", fails on the code before.

--- a/packages/coordination/src/replicated_log/core_runner.ts
+++ b/packages/coordination/src/replicated_log/core_runner.ts
@@ -77,7 +77,7 @@
     if (this.timer) clearTimeout(this.timer);
     const delay = Math.max(0, Math.ceil(due - performance.now()));
     this.timerAt = due;
-    this.timer = setTimeout(() => this.tickAfterReading(), delay);
+    this.timer = setTimeout(() => this.due(), delay);
   }
 
   close(): void {
@@ -87,14 +87,18 @@
 
   /**
    * Timers run before input is read, so after a late turn of the event loop
-   * the messages that break a silence may not have been taken yet.
+   * the messages that break a silence may not have been taken yet. Heartbeats
+   * don't wait: what is sent after reading leaves a whole turn later.
    */
-  private tickAfterReading(): void {
-    setImmediate(() => {
-      this.timer = null;
-      this.dispatch({type: 'tick'});
-      if (!this.closed) this.options.onTick();
-    });
+  private due(): void {
+    if (this.current.role === 'leader') this.tick();
+    else setImmediate(() => this.tick());
+  }
+
+  private tick(): void {
+    this.timer = null;
+    this.dispatch({type: 'tick'});
+    if (!this.closed) this.options.onTick();
   }
 
   private drain(): void {
--- a/packages/coordination/tests/replicated_log/late_members.test.ts
+++ b/packages/coordination/tests/replicated_log/late_members.test.ts
@@ -98,6 +98,30 @@
       clock.uninstall();
     });
 
+    // Messages that are sent after the input of a turn leave a turn later.
+    it('a heartbeat goes out in the turn in which it is due', async () => {
+      const sent: string[] = [];
+      const runner = new CoreRunner<string>({
+        cfg: CFG,
+        start: START,
+        random: () => 0,
+        onStep: (_, effects) => sent.push(...sentTypes(effects)),
+        onTick: () => undefined,
+      });
+      runner.schedule();
+      await clock.tickAsync(CFG.electionTimeoutMs + 1);
+      for (const pre of [true, false]) {
+        const vote = {type: 'vote-reply' as const, to: '1', term: 2};
+        const message = {...vote, pre, granted: true};
+        runner.dispatch({type: 'receive', from: B, message});
+      }
+      expect(runner.state.role).to.equal('leader');
+      sent.length = 0;
+      clock.tick(CFG.heartbeatMs);
+      runner.close();
+      expect(sent).to.deep.equal(['append', 'append']);
+    });
+
     it('a late follower reads what has arrived before it campaigns', async () => {
       const sent: string[] = [];
       const runner = new CoreRunner<string>({
