--- a/packages/coordination/tests/replicated_log/late_members.test.ts
+++ b/packages/coordination/tests/replicated_log/late_members.test.ts
@@ -105,7 +105,7 @@
         cfg: CFG,
         start: START,
         random: () => 0,
-        onStep: (_, effects) => sent.push(...sentTypes(effects)),
+        onStep: (_event, _before, effects) => sent.push(...sentTypes(effects)),
         onTick: () => undefined,
       });
       runner.schedule();
