Send stops only while orders may be given, after a look

A start whose answer was lost ended a healthy run when the owner was then paused or without a lease: the look at the upstream was skipped, but the stop that follows it was sent at once. The same stop went out where the look had no answer. Other stops (slow runs, strays, abandoned starts, closed jobs) didn't ask either, so an old leader that wakes ended work until an upstream had seen a higher token.

Stops now wait until orders may be given, with the usual pause between tries, and are given up with the session. A run stays uncertain until a hold that was sent after its start has been answered, by the look or by the session's own holds; only then is it forbidden.

Five of the six new tests fail without the change: the healthy runs end as "stopped" instead of "done", and the stops go out while the owner may not order (1 and 2 instead of 0).

Run: npx mocha packages/dispatch/tests/owner/run_orders.test.ts Before: 1 passing, 5 failing. After: 6 passing; with the other tests of the owner named owner*, upstream_session: 42 passing.

--- a/packages/dispatch/src/owner/run_orders.ts
+++ b/packages/dispatch/src/owner/run_orders.ts
@@ -23,6 +23,8 @@
   readonly isOver: () => boolean;
   /** Asks for the runs at once. */
   readonly look: () => Promise<void>;
+  /** When the last hold was sent whose answer has been taken. */
+  readonly answeredHoldAt: () => number;
   /** Makes the session wait for ends. */
   readonly follow: () => void;
 }
@@ -65,6 +67,11 @@
 
   /** Forbids a run that the table doesn't hold; the next hold repeats it. */
   async forbid(active: Pick<ActiveRun, 'task' | 'run'>): Promise<void> {
+    const {options, isOver} = this.context;
+    while (!options.mayOrder()) {
+      await sleep(SESSION_TIMING.retryMs);
+      if (isOver()) return;
+    }
     await this.sendStop(active).catch(() => undefined);
   }
 
@@ -97,18 +104,31 @@
 
   /** Finds out whether a run began, and forbids it if not. */
   async verify(run: Run): Promise<void> {
-    const {runs} = this.context;
+    const {look, answeredHoldAt, isOver} = this.context;
     run.phase = 'uncertain';
     run.task.job.started = true;
-    await this.context.look();
-    if (!runs.has(run) || run.phase !== 'uncertain') return;
+    const since = performance.now();
+    await look();
+    // Where that had no answer, one of the session's own holds has it.
+    while (this.isUncertain(run) && answeredHoldAt() < since && !isOver()) {
+      await sleep(SESSION_TIMING.retryMs);
+    }
+    if (!this.isUncertain(run) || isOver()) return;
     run.phase = 'stopping';
     await this.untilStopped(run);
   }
 
+  private isUncertain(run: Run): boolean {
+    return this.context.runs.has(run) && run.phase === 'uncertain';
+  }
+
   private async untilStopped(run: Run): Promise<void> {
-    const {runs, isOver, look, follow} = this.context;
+    const {options, runs, isOver, look, follow} = this.context;
     while (runs.has(run) && !isOver()) {
+      if (!options.mayOrder()) {
+        await sleep(SESSION_TIMING.retryMs);
+        continue;
+      }
       try {
         await this.sendStop({task: run.task.id, run: run.number});
         run.stopAckedAt = performance.now();
--- a/packages/dispatch/src/owner/upstream_session.ts
+++ b/packages/dispatch/src/owner/upstream_session.ts
@@ -62,6 +62,7 @@
       clock: () => this.clock,
       isOver: () => this.closed || this.state === 'lost',
       look: () => this.look(),
+      answeredHoldAt: () => this.answeredHoldAt,
       follow: () => this.wakeup.wake(),
     });
     void this.loop();
@@ -243,7 +244,7 @@
       return events.otherLife(this, startedAt);
     }
     this.heardAt = performance.now();
-    this.answeredHoldAt = sentAt;
+    this.answeredHoldAt = Math.max(this.answeredHoldAt, sentAt);
     this.failures = 0;
     this.observeClock(clockMs);
     const wasFencing = this.state === 'fencing';
--- /dev/null
+++ b/packages/dispatch/tests/owner/run_orders.test.ts
@@ -0,0 +1,181 @@
+/** Stops: only by an owner that may give orders, and never unlooked. */
+import {must} from '@mustardferry/model';
+import fakeTimers, {type Clock} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+
+import type {BoardTask, Run} from '../../src/owner/board_types.js';
+import {RunProgress} from '../../src/owner/run_progress.js';
+import type {SessionEvents} from '../../src/owner/session_types.js';
+import {UpstreamSession} from '../../src/owner/upstream_session.js';
+import {
+  FakePort,
+  FakeUpstream,
+  type Fate,
+  type Span,
+} from '../fake_upstreams.js';
+import {OwnerHarness, step} from '../owner_harness.js';
+
+const TASK = {job: 'a', step: 0, index: 0};
+
+const NO_EVENTS: SessionEvents = {
+  fenced: () => undefined,
+  contactChanged: () => undefined,
+  ended: () => Promise.resolve(true),
+  runLost: () => undefined,
+  startRefused: () => undefined,
+  progressed: () => undefined,
+  foundRun: () => undefined,
+  otherLife: () => undefined,
+  superseded: () => undefined,
+};
+
+describe('Unanswered starts', () => {
+  let harness: OwnerHarness;
+  let fates: Partial<Record<'start' | 'stop' | 'hold', Fate>>;
+
+  beforeEach(async () => {
+    harness = new OwnerHarness(1);
+    await harness.begin();
+    await harness.advance(1_010);
+    const upstream = harness.upstream(0);
+    upstream.runMs = 400;
+    fates = {};
+    upstream.fate = order => fates[order] ?? 'delivered';
+  });
+
+  afterEach(() => harness.close());
+
+  function outcomes(): string[] {
+    return harness.spans.map(({outcome}) => outcome);
+  }
+
+  // Guards against stops of healthy runs by an owner that could not look.
+  it('leave the run alone while the owner is paused', async () => {
+    fates = {start: 'answer-lost'};
+    const reply = harness.submit('a', [step(1, {declaredMs: 400})]);
+    await harness.advance(10);
+    harness.paused = true;
+    await harness.advance(300);
+    expect(outcomes()).to.deep.equal(['open']);
+    harness.paused = false;
+    expect(await harness.settled(reply)).to.include({state: 'completed'});
+    expect(outcomes()).to.deep.equal(['done']);
+  });
+
+  // Guards against stops of healthy runs after a look that had no answer.
+  it('leave the run alone until a hold is answered', async () => {
+    fates = {start: 'answer-lost', hold: 'lost'};
+    const reply = harness.submit('a', [step(1, {declaredMs: 400})]);
+    await harness.advance(175);
+    fates = {};
+    expect(await harness.settled(reply)).to.include({state: 'completed'});
+    expect(outcomes()).to.deep.equal(['done']);
+  });
+
+  // Guards against tasks that wait for ever for a start that was lost.
+  it('are forbidden and repeated once a hold does not list the run', async () => {
+    fates = {start: 'lost', hold: 'lost'};
+    const reply = harness.submit('a', [step(1, {declaredMs: 400})]);
+    await harness.advance(175);
+    fates = {};
+    expect(await harness.settled(reply)).to.include({state: 'completed'});
+    expect(harness.spans.map(({run}) => run)).to.deep.equal([2]);
+  });
+});
+
+describe('Stops', () => {
+  let clock: Clock;
+  let mayOrder: boolean;
+  let upstream: FakeUpstream;
+  let spans: Span[];
+  let stops: number;
+  let session: UpstreamSession;
+
+  beforeEach(async () => {
+    clock = fakeTimers.install({
+      toFake: ['setTimeout', 'clearTimeout', 'performance'],
+    });
+    mayOrder = true;
+    stops = 0;
+    spans = [];
+    upstream = new FakeUpstream('u', '10.0.0.1:1', spans);
+    upstream.runMs = 10_000;
+    upstream.fate = order => {
+      if (order === 'stop') stops++;
+      return 'delivered';
+    };
+    session = new UpstreamSession({
+      record: upstream.announcement(1),
+      acknowledged: 0,
+      clockMs: upstream.clockMs,
+      token: 1,
+      leaseMs: 700,
+      port: new FakePort([upstream]),
+      events: NO_EVENTS,
+      mayOrder: () => mayOrder,
+    });
+    await clock.tickAsync(10);
+  });
+
+  afterEach(() => {
+    session.close();
+    clock.uninstall();
+  });
+
+  function createRun(): Run {
+    const admitted = {durable: false, payload: ''};
+    const job = {admitted, started: false};
+    const task = {id: TASK, key: 'a/0/0', step: step(1), job};
+    return {
+      task: task as unknown as BoardTask,
+      number: 1,
+      session,
+      startedAt: performance.now(),
+      phase: 'starting',
+      confirmedAt: Infinity,
+      stopAckedAt: Infinity,
+      progress: new RunProgress(),
+      ranMs: null,
+    };
+  }
+
+  // Guards against stops by an old leader that wakes, or has no lease.
+  it('of runs wait until the owner may order', async () => {
+    const run = createRun();
+    void session.start(run);
+    await clock.tickAsync(10);
+    mayOrder = false;
+    void session.stop(run);
+    await clock.tickAsync(300);
+    expect(stops).to.equal(0);
+    mayOrder = true;
+    await clock.tickAsync(100);
+    expect(stops).to.equal(1);
+    expect(must(spans[0], 'no run').outcome).to.equal('stopped');
+  });
+
+  // Guards against the same for runs that the session doesn't track.
+  it('of strays wait until the owner may order', async () => {
+    mayOrder = false;
+    void session.forbid({task: TASK, run: 1});
+    await clock.tickAsync(300);
+    expect(stops).to.equal(0);
+    mayOrder = true;
+    await clock.tickAsync(100);
+    expect(stops).to.equal(1);
+  });
+
+  // Guards against stops that outlive the leader that wanted them.
+  it('are given up with the session', async () => {
+    const run = createRun();
+    void session.start(run);
+    await clock.tickAsync(10);
+    mayOrder = false;
+    void session.stop(run);
+    void session.forbid({task: TASK, run: 1});
+    session.close();
+    mayOrder = true;
+    await clock.tickAsync(1_000);
+    expect(stops).to.equal(0);
+  });
+});
