Give no orders for an upstream after its release

The leader repeated a hold through another member although the upstream had been released meanwhile. The repetition made its entry of the path anew, and the member that carried it opened connections that no "orders-end" message ended: they stayed as long as the process.

A release now ends the orders that wait for an answer of that life, as unanswered, and another path is chosen only for an upstream that has an entry. The session had the same fault: the hold after a stop, and the one after a wait for a commit, could go out after it was closed. Both now look whether it is.

--- a/packages/dispatch/src/instance/order_paths.ts
+++ b/packages/dispatch/src/instance/order_paths.ts
@@ -64,9 +64,13 @@
     return noteUse(way, this.detour(to, path) ?? path);
   }
 
-  /** Another path than a given one; null if no other member is connected. */
+  /**
+   * Another path than a given one; null if no other member is connected, or if
+   * the upstream was released.
+   */
   alternative(to: UpstreamTarget, path: string): string | null {
-    return noteUse(this.wayTo(to), this.detour(to, path));
+    const way = this.ways.get(lifeKey(to));
+    return way ? noteUse(way, this.detour(to, path)) : null;
   }
 
   /** Forgets an upstream; returns the members that carried orders for it. */
--- a/packages/dispatch/src/instance/relayed_port.ts
+++ b/packages/dispatch/src/instance/relayed_port.ts
@@ -20,6 +20,7 @@
   UpstreamPort,
   type UpstreamTarget,
 } from '../upstreams/upstream_port.js';
+import {lifeKey} from '../upstreams/upstream_types.js';
 import {type Carrier, OrderPaths} from './order_paths.js';
 import {RepeatBudget} from './repeat_budget.js';
 
@@ -58,6 +59,8 @@
 interface Pending {
   readonly carrier: string;
   readonly sentAt: number;
+  /** Key of the upstream's life. */
+  readonly life: string;
   readonly settle: (outcome: OrderOutcome) => void;
   /** Ends the wait without an outcome. */
   readonly drop: () => void;
@@ -118,6 +121,11 @@
     for (const carrier of this.paths.release(to)) {
       this.options.send(carrier, {type: 'orders-end', to});
     }
+    const life = lifeKey(to);
+    for (const each of [...this.pending.values()]) {
+      if (each.life !== life) continue;
+      each.settle({type: 'unanswered', cause: 'upstream released'});
+    }
     this.options.direct.release(to);
   }
 
@@ -215,7 +223,8 @@
       if (this.isQuiet(carrier, sentAt)) attempt.onQuiet();
     };
     let timer = arm(content.order.timeoutMs + HOP_MS, check);
-    this.pending.set(id, {carrier, sentAt, settle, drop});
+    const life = lifeKey(to);
+    this.pending.set(id, {carrier, sentAt, life, settle, drop});
     const message: OrderMessage = {type: 'order', id, to, content};
     if (this.options.send(carrier, message)) return;
     settle({type: 'not-sent', cause: 'not connected'});
--- a/packages/dispatch/src/owner/upstream_session.ts
+++ b/packages/dispatch/src/owner/upstream_session.ts
@@ -142,7 +142,7 @@
       if (this.committing) {
         await Promise.race([this.committing, sleep(SESSION_TIMING.renewMs)]);
       }
-      if (!this.options.mayOrder()) {
+      if (this.closed || !this.options.mayOrder()) {
         await sleep(SESSION_TIMING.retryMs);
         continue;
       }
@@ -164,7 +164,7 @@
   }
 
   private async look(): Promise<void> {
-    if (this.options.mayOrder()) await this.hold(0);
+    if (!this.closed && this.options.mayOrder()) await this.hold(0);
   }
 
   /** One hold; returns whether it was answered. */
--- a/packages/dispatch/tests/instance/relayed_port.test.ts
+++ b/packages/dispatch/tests/instance/relayed_port.test.ts
@@ -292,4 +292,32 @@
     expect(sent).to.deep.equal([{type: 'orders-end', to: target(1)}]);
     expect(direct.released).to.deep.equal([target(1)]);
   });
+
+  // Guards against connections to an upstream that nothing ends any more.
+  it('gives no orders for an upstream that was released meanwhile', async () => {
+    await holdAll();
+    await holdAll();
+    silent = new Set(['m3']);
+    const answer = port.hold(target(1), HOLD).catch((err: unknown) => err);
+    await clock.tickAsync(10);
+    port.release(target(1));
+    sent = [];
+    await clock.tickAsync(750);
+    expect(sent).to.deep.equal([]);
+    expect(await answer).to.be.instanceOf(OrderUnansweredError);
+    expect(logger.of('order-carrier-avoided')).to.deep.equal([]);
+  });
+
+  // Guards against holds that a release ends for another life of the id.
+  it('goes on with the orders for another life of a released upstream', async () => {
+    await holdAll();
+    await holdAll();
+    silent = new Set(['m3']);
+    const next = {...target(1), startedAt: target(1).startedAt + 1};
+    const answer = port.hold(next, HOLD);
+    await clock.tickAsync(10);
+    port.release(target(1));
+    await clock.tickAsync(300);
+    expect(await answer).to.include({type: 'held'});
+  });
 });
--- a/packages/dispatch/tests/owner/run_orders.test.ts
+++ b/packages/dispatch/tests/owner/run_orders.test.ts
@@ -89,6 +89,7 @@
   let upstream: FakeUpstream;
   let spans: Span[];
   let stops: number;
+  let holds: number;
   let session: UpstreamSession;
 
   beforeEach(async () => {
@@ -97,11 +98,13 @@
     });
     mayOrder = true;
     stops = 0;
+    holds = 0;
     spans = [];
     upstream = new FakeUpstream('u', '10.0.0.1:1', spans);
     upstream.runMs = 10_000;
     upstream.fate = order => {
       if (order === 'stop') stops++;
+      if (order === 'hold') holds++;
       return 'delivered';
     };
     session = new UpstreamSession({
@@ -178,4 +181,17 @@
     await clock.tickAsync(1_000);
     expect(stops).to.equal(0);
   });
+
+  // Guards against connections to a released upstream that nothing ends.
+  it('are followed by no hold once the session is closed', async () => {
+    const run = createRun();
+    void session.start(run);
+    await clock.tickAsync(10);
+    void session.stop(run);
+    session.close();
+    holds = 0;
+    await clock.tickAsync(1_000);
+    expect(stops).to.equal(1);
+    expect(holds).to.equal(0);
+  });
 });
