Ignore lists of runs and ends older than the newest

Two holds of a session may overlap, the wait for an end and a look, and an answer may come up to 500 ms late. The session took the lists of each answer as the newest: an older one listed a run whose end had been taken, which was then found again and could be adopted, and the time of the newest list went backwards, so that run times were not known.

Lists of an answer with a lower reading of the clock than the newest lists are now ignored, where the answer tells that it is of the same life. The answer still counts as one: contact, clock and failures are as before. Its ends are in the newer list already, or come again with the next hold, as the cursor has not passed them.

--- a/packages/dispatch/src/owner/run_table.ts
+++ b/packages/dispatch/src/owner/run_table.ts
@@ -1,6 +1,10 @@
 /** Runs that the owner believes to be on one upstream. */
 import {type TaskId, taskKey} from '../jobs/job_types.js';
-import type {ActiveRun, RunEnd} from '../upstreams/upstream_port.js';
+import type {
+  ActiveRun,
+  HoldAnswer,
+  RunEnd,
+} from '../upstreams/upstream_port.js';
 import type {UpstreamRecord} from '../upstreams/upstream_types.js';
 import type {Run} from './board_types.js';
 import {CapacityUse} from './capacity_use.js';
@@ -74,6 +78,16 @@
     run.task.job.started = true;
   }
 
+  /**
+   * Whether newer lists than those of an answer were taken, as answers may
+   * overtake each other. Its ends are in the newer list, or come again.
+   */
+  isOutdated(answer: Extract<HoldAnswer, {type: 'held'}>): boolean {
+    // Another life, whose clock began anew, is not always told.
+    const isSameLife = answer.startedAt !== undefined;
+    return isSameLife && answer.clockMs < this.listedAtMs;
+  }
+
   /**
    * Removes runs whose ends are listed.
    *
--- a/packages/dispatch/src/owner/upstream_session.ts
+++ b/packages/dispatch/src/owner/upstream_session.ts
@@ -250,8 +250,10 @@
     const wasFencing = this.state === 'fencing';
     if (this.state !== 'live') this.setContact('live', 'answered');
     if (this.abandoned.length > 0) this.forbidAbandoned();
-    this.takeEnds(answer.ends, clockMs);
-    this.takeActive(answer, sentAt);
+    if (!this.runs.isOutdated(answer)) {
+      this.takeEnds(answer.ends, clockMs);
+      this.takeActive(answer, sentAt);
+    }
     if (wasFencing) events.fenced(this);
     events.progressed(this);
   }
--- a/packages/dispatch/tests/owner/run_orders.test.ts
+++ b/packages/dispatch/tests/owner/run_orders.test.ts
@@ -3,9 +3,6 @@
 import fakeTimers, {type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 
-import type {BoardTask, Run} from '../../src/owner/board_types.js';
-import {RunProgress} from '../../src/owner/run_progress.js';
-import type {SessionEvents} from '../../src/owner/session_types.js';
 import {UpstreamSession} from '../../src/owner/upstream_session.js';
 import {
   FakePort,
@@ -14,21 +11,10 @@
   type Span,
 } from '../fake_upstreams.js';
 import {OwnerHarness, step} from '../owner_harness.js';
+import {createRun, NO_EVENTS} from './session_fixture.js';
 
 const TASK = {job: 'a', step: 0, index: 0};
 
-const NO_EVENTS: SessionEvents = {
-  fenced: () => undefined,
-  contactChanged: () => undefined,
-  ended: () => Promise.resolve(true),
-  runLost: () => undefined,
-  startRefused: () => undefined,
-  progressed: () => undefined,
-  foundRun: () => undefined,
-  otherLife: () => undefined,
-  superseded: () => undefined,
-};
-
 describe('Unanswered starts', () => {
   let harness: OwnerHarness;
   let fates: Partial<Record<'start' | 'stop' | 'hold', Fate>>;
@@ -125,26 +111,9 @@
     clock.uninstall();
   });
 
-  function createRun(): Run {
-    const admitted = {durable: false, payload: ''};
-    const job = {admitted, started: false};
-    const task = {id: TASK, key: 'a/0/0', step: step(1), job};
-    return {
-      task: task as unknown as BoardTask,
-      number: 1,
-      session,
-      startedAt: performance.now(),
-      phase: 'starting',
-      confirmedAt: Infinity,
-      stopAckedAt: Infinity,
-      progress: new RunProgress(),
-      ranMs: null,
-    };
-  }
-
   // Guards against stops by an old leader that wakes, or has no lease.
   it('of runs wait until the owner may order', async () => {
-    const run = createRun();
+    const run = createRun(session, TASK);
     void session.start(run);
     await clock.tickAsync(10);
     mayOrder = false;
@@ -170,7 +139,7 @@
 
   // Guards against stops that outlive the leader that wanted them.
   it('are given up with the session', async () => {
-    const run = createRun();
+    const run = createRun(session, TASK);
     void session.start(run);
     await clock.tickAsync(10);
     mayOrder = false;
@@ -184,7 +153,7 @@
 
   // Guards against connections to a released upstream that nothing ends.
   it('are followed by no hold once the session is closed', async () => {
-    const run = createRun();
+    const run = createRun(session, TASK);
     void session.start(run);
     await clock.tickAsync(10);
     void session.stop(run);
