--- a/packages/dispatch/tests/owner/upstream_session.test.ts
+++ b/packages/dispatch/tests/owner/upstream_session.test.ts
@@ -99,4 +99,14 @@
     await clock.tickAsync(2_000);
     expect(new Set(port.acknowledged)).to.deep.equal(new Set([0]));
   });
+
+  // Guards against connections to a released upstream that nothing ends.
+  it('sends no hold once it was closed while ends wait for their commit', async () => {
+    port.listed = 1;
+    await clock.tickAsync(50);
+    session.close();
+    const {length} = port.acknowledged;
+    await clock.tickAsync(1_000);
+    expect(port.acknowledged).to.have.length(length);
+  });
 });
