Move commits of ends and the members of a test to files of their own

Change: the order of commits is kept by EndCommits, the stand-in members of the test stand in relay_fixture.ts. Nothing else changes.

--- a/packages/dispatch/src/owner/upstream_session.ts
+++ b/packages/dispatch/src/owner/upstream_session.ts
@@ -6,6 +6,7 @@
 } from '../upstreams/upstream_port.js';
 import {lifeKey, type UpstreamRecord} from '../upstreams/upstream_types.js';
 import type {Run} from './board_types.js';
+import {EndCommits} from './end_commits.js';
 import {EndsCursor} from './ends_cursor.js';
 import {LeaseClock} from './lease_clock.js';
 import {PendingStarts} from './pending_starts.js';
@@ -36,8 +37,9 @@
   private readonly cursor: EndsCursor;
   /** Runs listed last that the session doesn't track. */
   private strays = 0;
-  /** The last commit of ends; false where one before it has failed. */
-  private committing: Promise<boolean> | null = null;
+  private readonly commits = new EndCommits(upTo =>
+    this.cursor.noteCommitted(upTo),
+  );
   private readonly starts = new PendingStarts();
   /** When the last hold was sent that this life has answered. */
   private answeredHoldAt = Number.NEGATIVE_INFINITY;
@@ -139,9 +141,7 @@
     while (!this.closed) {
       if (this.isIdle) await this.wakeup.wait();
       if (this.closed) return;
-      if (this.committing) {
-        await Promise.race([this.committing, sleep(SESSION_TIMING.renewMs)]);
-      }
+      await this.commits.settled(SESSION_TIMING.renewMs);
       if (this.closed || !this.options.mayOrder()) {
         await sleep(SESSION_TIMING.retryMs);
         continue;
@@ -187,9 +187,9 @@
     }
     if (this.closed) return answer.type === 'held';
     this.answered(answer, sentAt);
-    const isSameLife = !this.closed && answer.type === 'held';
-    if (isSameLife) this.cursor.noteTold(acknowledged);
-    return answer.type === 'held';
+    const isHeld = answer.type === 'held';
+    if (isHeld && !this.closed) this.cursor.noteTold(acknowledged);
+    return isHeld;
   }
 
   /** Extends the leases unless they are to run out. */
@@ -268,15 +268,10 @@
     const ends = this.cursor.take(all);
     this.runs.takeEnds(ends, clockMs);
     if (ends.length === 0) return;
-    const upTo = this.cursor.seenUpTo;
-    const earlier = this.committing ?? Promise.resolve(true);
     const {events} = this.options;
-    const committed = events.ended(this, ends, earlier).then(ok => {
-      if (ok) this.cursor.noteCommitted(upTo);
-      if (ok && this.committing === committed) this.committing = null;
-      return ok;
-    });
-    this.committing = committed;
+    this.commits.add(this.cursor.seenUpTo, earlier =>
+      events.ended(this, ends, earlier),
+    );
   }
 
   private takeActive(
--- a/packages/dispatch/tests/instance/relayed_port.test.ts
+++ b/packages/dispatch/tests/instance/relayed_port.test.ts
@@ -11,33 +11,12 @@
   OrdersEndMessage,
 } from '../../src/messages/order_messages.js';
 import {
-  type HoldOrder,
   OrderNotSentError,
   OrderUnansweredError,
   type UpstreamTarget,
 } from '../../src/upstreams/upstream_port.js';
-import {FakePort, FakeUpstream} from '../fake_upstreams.js';
-
-const HOLD: HoldOrder = {token: 1, timeoutMs: 200, acknowledged: 0, waitMs: 0};
-
-/** Upstreams of which the last need other members to carry orders. */
-const COUNT = 70;
-
-class CountingPort extends FakePort {
-  holds = 0;
-  reaches = true;
-  readonly released: UpstreamTarget[] = [];
-
-  override hold(to: UpstreamTarget, order: HoldOrder) {
-    this.holds++;
-    if (!this.reaches) return Promise.reject(new OrderUnansweredError('cut'));
-    return super.hold(to, order);
-  }
-
-  override release(to?: UpstreamTarget): void {
-    if (to) this.released.push(to);
-  }
-}
+import {FakeUpstream} from '../fake_upstreams.js';
+import {COUNT, CountingPort, HOLD, MEMBERS} from './relay_fixture.js';
 
 describe('RelayedPort', () => {
   let clock: Clock;
@@ -61,11 +40,7 @@
     );
     direct = new CountingPort(upstreams);
     known = 0;
-    connected = [
-      {address: 'm1', dataCentre: 'a'},
-      {address: 'm2', dataCentre: 'a'},
-      {address: 'm3', dataCentre: 'b'},
-    ];
+    connected = [...MEMBERS];
     ports = new Map(
       connected.map(({address}) => [address, new CountingPort(upstreams)]),
     );
