Follow carried orders with one timer and no function for each

Callers saw jobs late where the leader's processor is full: since outcomes are waited for, each carried order made six functions, two timers and a set, and an overdue one looked at all pending orders. Change: attempts are records, one timer looks at all of them every 20 ms, and who owes an outcome is found once a look. The test of a member that is reported once waits with one clock instead of four at once.

--- a/packages/dispatch/src/instance/relayed_port.ts
+++ b/packages/dispatch/src/instance/relayed_port.ts
@@ -56,26 +56,29 @@
  */
 const LONGEST_HOP_MS = 500;
 
-interface Pending {
-  readonly carrier: string;
-  readonly sentAt: number;
-  /** Key of the upstream's life. */
-  readonly life: string;
-  readonly settle: (outcome: OrderOutcome) => void;
-  /** Ends the wait without an outcome. */
-  readonly drop: () => void;
-}
+/** Period in ms in which orders without an outcome are looked at. */
+const CHECK_MS = 20;
 
-/** One way of giving an order. */
-interface Attempt {
-  readonly carrier: string;
+/** One order, which may be under way on several paths. */
+interface Exchange {
   readonly to: UpstreamTarget;
   readonly content: OrderContent;
   /** Time after which no outcome is waited for. */
   readonly endsAt: number;
-  readonly onOutcome: (outcome: OrderOutcome) => void;
-  /** Told repeatedly while the outcome is overdue and the member quiet. */
-  readonly onQuiet: () => void;
+  readonly settle: (outcome: CarriedOutcome) => void;
+  /** Attempts without an outcome. */
+  readonly open: Set<Attempt>;
+  isRepeated: boolean;
+}
+
+/** An order on its way through one member. */
+interface Attempt {
+  readonly id: number;
+  readonly carrier: string;
+  readonly sentAt: number;
+  /** Time from which the outcome takes longer than usual. */
+  readonly overdueAt: number;
+  readonly exchange: Exchange;
 }
 
 type CarriedOutcome = OrderOutcome & {readonly carrier: string};
@@ -89,8 +92,9 @@
 export class RelayedPort extends UpstreamPort {
   private readonly paths: OrderPaths;
   private readonly budget: RepeatBudget;
-  private readonly pending = new Map<number, Pending>();
+  private readonly pending = new Map<number, Attempt>();
   private readonly heardAt = new Map<string, number>();
+  private timer: NodeJS.Timeout | null = null;
   private nextId = 1;
 
   constructor(private readonly options: RelayedPortOptions) {
@@ -123,8 +127,8 @@
     }
     const life = lifeKey(to);
     for (const each of [...this.pending.values()]) {
-      if (each.life !== life) continue;
-      each.settle({type: 'unanswered', cause: 'upstream released'});
+      if (lifeKey(each.exchange.to) !== life) continue;
+      this.finish(each, {type: 'unanswered', cause: 'upstream released'});
     }
     this.options.direct.release(to);
   }
@@ -133,7 +137,8 @@
   outcome(carrier: string, id: number, outcome: OrderOutcome): void {
     this.heardAt.set(carrier, performance.now());
     this.paths.noteHeard(carrier);
-    this.pending.get(id)?.settle(outcome);
+    const attempt = this.pending.get(id);
+    if (attempt) this.finish(attempt, outcome);
   }
 
   /** A connection to a member ended; what it carried may still arrive. */
@@ -141,7 +146,8 @@
     this.paths.noteHeard(carrier);
     for (const each of [...this.pending.values()]) {
       if (each.carrier !== carrier) continue;
-      each.settle({type: 'unanswered', cause: `${carrier} disconnected`});
+      const cause = `${carrier} disconnected`;
+      this.finish(each, {type: 'unanswered', cause});
     }
   }
 
@@ -171,90 +177,113 @@
     content: OrderContent,
   ): Promise<CarriedOutcome> {
     const endsAt = performance.now() + content.order.timeoutMs + LONGEST_HOP_MS;
-    return new Promise(resolve => {
-      const open = new Set<number>();
-      const send = (by: string, what: OrderContent, onQuiet: () => void) => {
-        const id = this.nextId++;
-        open.add(id);
-        const onOutcome = (outcome: OrderOutcome) => {
-          open.delete(id);
-          if (outcome.type !== 'answered') {
-            this.paths.failed(to, by);
-            if (open.size > 0) return;
-          }
-          for (const other of open) this.pending.get(other)?.drop();
-          resolve({...outcome, carrier: by});
-        };
-        const attempt = {carrier: by, to, content: what, endsAt};
-        this.send(id, {...attempt, onOutcome, onQuiet});
-      };
-      let isRepeated = false;
-      send(carrier, content, () => {
-        if (isRepeated || content.kind !== 'hold') return;
-        const other = this.paths.alternative(to, carrier);
-        if (other === null || !this.budget.take()) return;
-        isRepeated = true;
-        send(other, withoutWait(content), () => undefined);
-      });
+    return new Promise(settle => {
+      const open = new Set<Attempt>();
+      const exchange = {to, content, endsAt, settle, open, isRepeated: false};
+      this.send(carrier, exchange, content);
     });
   }
 
-  private send(id: number, attempt: Attempt): void {
-    const {carrier, to, content} = attempt;
+  private send(
+    carrier: string,
+    exchange: Exchange,
+    content: OrderContent,
+  ): void {
+    const id = this.nextId++;
     const sentAt = performance.now();
-    const drop = () => {
-      clearTimeout(timer);
-      this.pending.delete(id);
-    };
-    const settle = (outcome: OrderOutcome) => {
-      drop();
-      attempt.onOutcome(outcome);
-    };
-    // Outcomes that arrived while the process was busy are read first.
-    const arm = (ms: number, due: () => void) =>
-      setTimeout(() => setImmediate(() => this.pending.has(id) && due()), ms);
-    const check = () => {
-      if (performance.now() >= attempt.endsAt) {
+    const overdueAt = sentAt + content.order.timeoutMs + HOP_MS;
+    const attempt = {id, carrier, sentAt, overdueAt, exchange};
+    exchange.open.add(attempt);
+    this.pending.set(id, attempt);
+    const message: OrderMessage = {type: 'order', id, to: exchange.to, content};
+    if (!this.options.send(carrier, message)) {
+      this.finish(attempt, {type: 'not-sent', cause: 'not connected'});
+    }
+    this.checkSoon();
+  }
+
+  private finish(attempt: Attempt, outcome: OrderOutcome): void {
+    const {carrier, exchange, id} = attempt;
+    const {to, open, settle} = exchange;
+    this.pending.delete(id);
+    open.delete(attempt);
+    if (outcome.type !== 'answered') {
+      this.paths.failed(to, carrier);
+      if (open.size > 0) return;
+    }
+    for (const other of open) this.pending.delete(other.id);
+    settle({...outcome, carrier});
+  }
+
+  /** One timer for all orders: one for each would cost more than the order. */
+  private checkSoon(): void {
+    if (this.timer !== null || this.pending.size === 0) return;
+    this.timer = setTimeout(() => {
+      // Outcomes that arrived while the process was busy are read first.
+      setImmediate(() => {
+        this.timer = null;
+        this.check(performance.now());
+        this.checkSoon();
+      });
+    }, CHECK_MS);
+  }
+
+  private check(now: number): void {
+    const owing = this.owingSince();
+    for (const attempt of [...this.pending.values()]) {
+      const {carrier, overdueAt, exchange} = attempt;
+      if (now >= exchange.endsAt) {
         this.paths.noteHeard(carrier);
-        settle({type: 'unanswered', cause: 'no outcome in time'});
-        return;
+        const cause = 'no outcome in time';
+        this.finish(attempt, {type: 'unanswered', cause});
+      } else if (now >= overdueAt && this.isQuiet(attempt, owing)) {
+        this.repeat(attempt);
       }
-      timer = arm(HOP_MS, check);
-      if (this.isQuiet(carrier, sentAt)) attempt.onQuiet();
-    };
-    let timer = arm(content.order.timeoutMs + HOP_MS, check);
-    const life = lifeKey(to);
-    this.pending.set(id, {carrier, sentAt, life, settle, drop});
-    const message: OrderMessage = {type: 'order', id, to, content};
-    if (this.options.send(carrier, message)) return;
-    settle({type: 'not-sent', cause: 'not connected'});
+    }
+  }
+
+  /** Gives a hold by another path, too; other orders must not be repeated. */
+  private repeat({carrier, exchange}: Attempt): void {
+    const {to, content, isRepeated} = exchange;
+    if (isRepeated || content.kind !== 'hold') return;
+    const other = this.paths.alternative(to, carrier);
+    if (other === null || !this.budget.take()) return;
+    exchange.isRepeated = true;
+    this.send(other, exchange, withoutWait(content));
+  }
+
+  /** By member, when the oldest order was sent since which it told nothing. */
+  private owingSince(): ReadonlyMap<string, number> {
+    const owing = new Map<string, number>();
+    for (const {carrier, sentAt} of this.pending.values()) {
+      if ((this.heardAt.get(carrier) ?? 0) >= sentAt) continue;
+      const known = owing.get(carrier) ?? Infinity;
+      if (sentAt < known) owing.set(carrier, sentAt);
+    }
+    return owing;
   }
 
   /** Whether a member that owes the outcome of an order tells nothing. */
-  private isQuiet(carrier: string, sentAt: number): boolean {
+  private isQuiet(
+    {carrier, sentAt}: Attempt,
+    owing: ReadonlyMap<string, number>,
+  ): boolean {
     const heardAt = this.heardAt.get(carrier) ?? 0;
     const silentMs = Math.round(performance.now() - Math.max(heardAt, sentAt));
     if (silentMs < QUIET_MS) return false;
-    if (!this.othersAnswer(carrier, sentAt)) return false;
+    // Where no member answers, this process or its machine may be late itself.
+    const othersAnswer = this.options
+      .carriers()
+      .some(
+        ({address}) =>
+          address !== carrier && (owing.get(address) ?? Infinity) > sentAt,
+      );
+    if (!othersAnswer) return false;
     if (this.paths.noteQuiet(carrier)) {
       this.options.logger.warn('order-carrier-avoided', {carrier, silentMs});
     }
     return true;
   }
-
-  /** Where no member answers, this process or its machine may be the late one. */
-  private othersAnswer(carrier: string, sentAt: number): boolean {
-    const waiting = new Set<string>();
-    for (const each of this.pending.values()) {
-      const heardAt = this.heardAt.get(each.carrier) ?? 0;
-      if (each.sentAt <= sentAt && heardAt < each.sentAt) {
-        waiting.add(each.carrier);
-      }
-    }
-    return this.options
-      .carriers()
-      .some(({address}) => address !== carrier && !waiting.has(address));
-  }
 }
 
 /** The same hold, answered at once. */
--- a/packages/dispatch/tests/instance/relayed_port.test.ts
+++ b/packages/dispatch/tests/instance/relayed_port.test.ts
@@ -247,7 +247,9 @@
   it('reports a member that is avoided once', async () => {
     await holdAll();
     silent = new Set(['m3']);
-    await Promise.all([1, 3, 5, 7].map(i => hold(i)));
+    const holds = [1, 3, 5, 7].map(i => port.hold(target(i), HOLD));
+    await clock.tickAsync(300);
+    expect(await Promise.all(holds)).to.have.length(4);
     expect(logger.of('order-carrier-avoided')).to.have.length(1);
   });
 
