--- a/packages/coordination/tests/replicated_log/late_members.test.ts
+++ b/packages/coordination/tests/replicated_log/late_members.test.ts
@@ -101,14 +101,7 @@
     // Messages that are sent after the input of a turn leave a turn later.
     it('a heartbeat goes out in the turn in which it is due', async () => {
       const sent: string[] = [];
-      const runner = new CoreRunner<string>({
-        cfg: CFG,
-        start: START,
-        random: () => 0,
-        onStep: (_event, _before, effects) => sent.push(...sentTypes(effects)),
-        onTick: () => undefined,
-      });
-      runner.schedule();
+      const runner = startRunner(sent);
       await clock.tickAsync(CFG.electionTimeoutMs + 1);
       for (const pre of [true, false]) {
         const vote = {type: 'vote-reply' as const, to: '1', term: 2};
@@ -124,14 +117,7 @@
 
     it('a late follower reads what has arrived before it campaigns', async () => {
       const sent: string[] = [];
-      const runner = new CoreRunner<string>({
-        cfg: CFG,
-        start: START,
-        random: () => 0,
-        onStep: (_event, _before, effects) => sent.push(...sentTypes(effects)),
-        onTick: () => undefined,
-      });
-      runner.schedule();
+      const runner = startRunner(sent);
       // The turn of the event loop that runs the late timer reads this next.
       setTimeout(
         () =>
@@ -159,6 +145,19 @@
   });
 });
 
+/** Starts a member that notes the types of what it sends. */
+function startRunner(sent: string[]): CoreRunner<string> {
+  const runner = new CoreRunner<string>({
+    cfg: CFG,
+    start: START,
+    random: () => 0,
+    onStep: (_event, _before, effects) => sent.push(...sentTypes(effects)),
+    onTick: () => undefined,
+  });
+  runner.schedule();
+  return runner;
+}
+
 function sentTypes(effects: readonly LogEffect<string>[]): readonly string[] {
   return effects.flatMap(e => (e.type === 'send' ? e.message.type : []));
 }
