Name two factors of a job's worth apart

Cause: the estimate and the queue each had a WORTHLESS_FACTOR, of 3 and of 4. Change: that of the estimate is called WORTH_FACTOR; no value changes.

--- a/packages/dispatch/src/owner/service_estimate.ts
+++ b/packages/dispatch/src/owner/service_estimate.ts
@@ -9,8 +9,8 @@
   'since' | 'waitsUntil' | 'objectiveMs' | 'chainMs'
 > & {readonly priority: number};
 
-/** Times its objective after which a job is worth nothing. */
-const WORTHLESS_FACTOR = 3;
+/** Times its objective up to which a late job is expected to be of worth. */
+const WORTH_FACTOR = 3;
 
 /**
  * Time in ms that work in time may wait while late work is expected to get
@@ -63,7 +63,7 @@
     const lateRate = isIdle ? rate : Math.max(this.lateRate(now), leastRate);
     const waitMs = inTimeMs + queue.workLate / lateRate;
     const endAt = now + waitMs + job.chainMs * pool.fastestFactor;
-    const worthUntil = job.since + WORTHLESS_FACTOR * job.objectiveMs;
+    const worthUntil = job.since + WORTH_FACTOR * job.objectiveMs;
     return endAt <= Math.min(worthUntil, job.waitsUntil);
   }
 
