--- a/packages/dispatch/src/instance/member.ts
+++ b/packages/dispatch/src/instance/member.ts
@@ -13,9 +13,10 @@
 import type {Command, CommandResult} from '../jobs/commands.js';
 import {DispatchState} from '../jobs/dispatch_state.js';
 import type {Call, CallOrigin, GroupView, Reply} from '../messages/calls.js';
-import type {Hello, PeerMessage} from '../messages/peer_messages.js';
+import type {PeerMessage} from '../messages/peer_messages.js';
 import {Owner} from '../owner/owner.js';
 import {sleep} from '../owner/waiting.js';
+import {type MemberLoad, OwnerWarmUp} from '../warm_up/owner_warm_up.js';
 import type {CallOutcome} from './call_outcome.js';
 import {FIRST_INCARNATION, firstVoters, toMemberIds} from './first_voters.js';
 import {createGroupView} from './group_view.js';
@@ -29,8 +30,8 @@
   SNAPSHOT_EVERY_ENTRIES,
 } from './log_timing.js';
 import type {MemberOptions} from './member_options.js';
-import {MemberRegistry} from './member_registry.js';
-import {relayOrder} from './order_carrier.js';
+import {createMemberHello, MemberRegistry} from './member_registry.js';
+import {OrderCarrier} from './order_carrier.js';
 import {OrderRelay} from './order_relay.js';
 import {PauseDetector} from './pause_detector.js';
 import {getVoterCount} from './voter_placement.js';
@@ -42,8 +43,6 @@
 /** Maximum time in ms that a stopping leader waits for its successor. */
 const LEADERSHIP_TRANSFER_MS = 1_500;
 
-type Log = ReplicatedLog<Command, CommandResult>;
-
 /** Runs the replicated log, and the owner while this member leads. */
 export class Member {
   readonly name = 'member';
@@ -51,10 +50,11 @@
   private readonly state = new DispatchState();
   private readonly registry: MemberRegistry;
   private readonly orderRelay: OrderRelay;
+  private readonly carrier: OrderCarrier;
   private readonly pauseDetector: PauseDetector;
   private readonly client: LeaderClient;
   private server!: FrameServer<PeerMessage>;
-  private log: Log | null = null;
+  private log: ReplicatedLog<Command, CommandResult> | null = null;
   private owner: Owner | null = null;
   private readonly waitingCallers = new WaitingCallers(job =>
     this.owner?.abandon(job),
@@ -66,19 +66,14 @@
     private readonly options: MemberOptions,
     private readonly self: MemberId,
   ) {
-    const {address, dataCentre, seeds, logger} = options;
+    const {seeds, logger} = options;
     this.pauseDetector = this.life.own(
       new PauseDetector(pausedMs => logger.warn('clock-jumped', {pausedMs})),
     );
+    this.carrier = this.life.own(new OrderCarrier(options));
     this.client = this.life.own(
       new LeaderClient({
-        self: {
-          type: 'hello',
-          role: 'member',
-          address,
-          dataCentre,
-          incarnation: self.incarnation,
-        },
+        self: createMemberHello(options, self.incarnation),
         seeds,
         logger,
         handleLocally: (call, origin) => this.handleLocally(call, origin),
@@ -122,6 +117,12 @@
     return this.owner !== null;
   }
 
+  /** Real work that this member does now. */
+  get load(): MemberLoad {
+    if (this.owner?.hasOpenJobs) return 'leading';
+    return this.carrier.isActive ? 'carrying' : 'idle';
+  }
+
   /** Sends a call to the leader, or handles it on the leader itself. */
   call(call: Call, timeoutMs: number): Promise<CallOutcome> {
     return this.client.call(call, timeoutMs);
@@ -204,6 +205,8 @@
       ...log.status(),
       incarnation: this.self.incarnation,
     });
+    if (!this.options.warmUp) return;
+    this.life.own(new OwnerWarmUp({logger, getLoad: () => this.load}));
   }
 
   private failed(err: unknown): void {
@@ -244,15 +247,16 @@
   ): Promise<void> {
     switch (message.type) {
       case 'hello':
-        if (message.role === 'member') this.handleHello(message);
-        return;
+        if (message.role !== 'member') return;
+        this.registry.addMember(message);
+        return this.client.addMembers([message.address]);
       case 'log':
         this.log?.receive(message.from, message.message as LogMessage<Command>);
         return;
       case 'call':
         return this.answerCall(channel, message);
       case 'order':
-        channel.send(await relayOrder(this.options.port, message));
+        channel.send(await this.carrier.relayOrder(message));
         return;
       case 'orders-end':
         return this.options.port.releaseUpstream(message.to);
@@ -273,11 +277,6 @@
     channel.send({type: 'reply', id, reply: reply ?? {type: 'not-leader'}});
   }
 
-  private handleHello(hello: Hello): void {
-    this.registry.addMember(hello);
-    this.client.addMembers([hello.address]);
-  }
-
   private createView(): GroupView {
     return createGroupView({
       address: this.options.address,
--- a/packages/dispatch/src/instance/member_options.ts
+++ b/packages/dispatch/src/instance/member_options.ts
@@ -23,6 +23,8 @@
   readonly leaseMs: number;
   readonly remoteFactor: number;
   readonly keepEndedMs: number;
+  /** Whether to warm up on stand-in upstreams; false by default. */
+  readonly warmUp?: boolean;
   /**
    * Called when the log or its storage fails. The process must exit, and its
    * next start recovers from the synced data.
--- a/packages/dispatch/src/instance/member_registry.ts
+++ b/packages/dispatch/src/instance/member_registry.ts
@@ -69,3 +69,11 @@
     log.setRegistered(member);
   }
 }
+
+/** Creates the first message of a member on its connections. */
+export function createMemberHello(
+  {address, dataCentre}: MemberLocation,
+  incarnation: string,
+): Hello {
+  return {type: 'hello', role: 'member', address, dataCentre, incarnation};
+}
--- a/packages/dispatch/src/owner/owner_activity.ts
+++ b/packages/dispatch/src/owner/owner_activity.ts
@@ -37,6 +37,8 @@
 /** Counts and duration summaries since the last report. */
 export interface ActivityReport extends ActivityCounts {
   readonly steps: Readonly<Partial<Record<MeasuredStep, StepSummary>>>;
+  /** Processor time of the process in ms since the last report. */
+  readonly cpuMs: number;
 }
 
 interface DurationSum {
@@ -58,12 +60,17 @@
 export class OwnerActivity {
   private durations = new Map<MeasuredStep, DurationSum>();
   private counts: Record<keyof ActivityCounts, number> = {...ZERO_COUNTS};
+  private cpu = process.cpuUsage();
 
-  constructor(private readonly metrics: Metrics) {}
+  /** @param metricPrefix First part of the names of the metrics. */
+  constructor(
+    private readonly metrics: Metrics,
+    private readonly metricPrefix: 'owner' | 'carrier' = 'owner',
+  ) {}
 
   /** Adds a duration in milliseconds, also to the metrics. */
   recordDuration(step: MeasuredStep, ms: number): void {
-    this.metrics.timing(`owner.${step}`, ms);
+    this.metrics.timing(`${this.metricPrefix}.${step}`, ms);
     let sum = this.durations.get(step);
     if (!sum) {
       sum = {count: 0, totalMs: 0, longestMs: 0};
@@ -83,7 +90,10 @@
     const steps: Partial<Record<MeasuredStep, StepSummary>> = {};
     for (const [step, sum] of this.durations)
       steps[step] = summarizeDurations(sum);
-    const report = {...this.counts, steps};
+    const {user, system} = process.cpuUsage(this.cpu);
+    this.cpu = process.cpuUsage();
+    const cpuMs = Math.round((user + system) / 1_000);
+    const report = {...this.counts, steps, cpuMs};
     this.durations = new Map();
     this.counts = {...ZERO_COUNTS};
     return report;
