Hand learned speeds to the next leader, and avoid a silent one as carrier

The speeds of upstreams died with a leader, so that tasks of the first second went to slow ones. Change: the leader shares its speeds with the members once a second; a term that began with the silence of the leader before avoids that member until it is heard. TermHandover keeps both, apart from input and output. The log of a group is opened in its own file.

--- a/packages/dispatch/src/instance/carrier_selector.ts
+++ b/packages/dispatch/src/instance/carrier_selector.ts
@@ -29,6 +29,7 @@
   private readonly assignments = new Map<string, CarrierAssignment>();
   /** Carriers with overdue outcomes from which nothing was received since. */
   private readonly unresponsive = new Set<string>();
+  private silentPredecessor: string | null = null;
 
   /**
    * @param getCarriers Returns the connected members, without the leader.
@@ -48,8 +49,8 @@
 
   /**
    * Returns the carrier for the next order, or null to send it directly. The
-   * assigned carrier is kept while it is connected; while it is unresponsive,
-   * another carrier is returned.
+   * assigned carrier is kept while it is connected; while it is unresponsive or
+   * the silent predecessor, another carrier is returned.
    */
   selectCarrier(to: UpstreamTarget): string | null {
     const assignment = this.getAssignment(to);
@@ -66,8 +67,10 @@
       );
     }
     const {path} = assignment;
-    if (path === null || !this.unresponsive.has(path))
-      return recordUse(assignment, path);
+    const isAvoided =
+      path !== null &&
+      (this.unresponsive.has(path) || path === this.silentPredecessor);
+    if (!isAvoided) return recordUse(assignment, path);
     return recordUse(assignment, this.selectByHash(to, path) ?? path);
   }
 
@@ -110,6 +113,21 @@
     this.unresponsive.delete(carrier);
   }
 
+  /**
+   * Starts a term. A leader that was replaced for its silence is frozen or cut
+   * off, and still connected: it gets no orders until it is heard.
+   *
+   * @param silentPredecessor Address of that leader; null if there is none.
+   */
+  startTerm(silentPredecessor: string | null): void {
+    this.silentPredecessor = silentPredecessor;
+  }
+
+  /** Records that any message of a member was received. */
+  memberHeard(address: string): void {
+    if (address === this.silentPredecessor) this.silentPredecessor = null;
+  }
+
   private getAssignment(to: UpstreamTarget): CarrierAssignment {
     const key = upstreamKey(to);
     let assignment = this.assignments.get(key);
@@ -122,7 +140,9 @@
 
   /** Spreads the upstreams of a carrier over the others by a stable hash. */
   private selectByHash(to: UpstreamTarget, path: string): string | null {
-    const others = this.getCarriers().filter(({address}) => address !== path);
+    const others = this.getCarriers().filter(
+      ({address}) => address !== path && address !== this.silentPredecessor,
+    );
     const usable = this.filterPreferred(others, to);
     return usable[fnv1a(upstreamKey(to)) % usable.length]?.address ?? null;
   }
--- a/packages/dispatch/src/instance/log_timing.ts
+++ b/packages/dispatch/src/instance/log_timing.ts
@@ -16,8 +16,15 @@
  */
 export const REPLACE_SILENT_AFTER_MS = 6_000;
 
+/** Options of the log for a group of members. */
+export const LOG_OPTIONS = {
+  mode: 'sync-everything',
+  heartbeatMs: HEARTBEAT_MS,
+  electionTimeoutMs: ELECTION_TIMEOUT_MS,
+  replaceSilentAfterMs: REPLACE_SILENT_AFTER_MS,
+  // Each snapshot takes tens of ms.
+  snapshotEveryEntries: 2_000,
+} as const;
+
 /** Segment size of the journal: a tenth of the smallest supported disk. */
 export const SEGMENT_BYTES = 8 * 1024 * 1024;
-
-/** Number of entries between snapshots, each of which takes tens of ms. */
-export const SNAPSHOT_EVERY_ENTRIES = 2_000;
--- a/packages/dispatch/src/instance/member.ts
+++ b/packages/dispatch/src/instance/member.ts
@@ -1,10 +1,10 @@
 /** A member of the replication group, as a voter or as a learner. */
+import type {ReplicatedLog} from '@mustardferry/coordination';
 import {
   type DiskLogStorage,
   type LeadershipChange,
   type LogMessage,
   type MemberId,
-  ReplicatedLog,
 } from '@mustardferry/coordination';
 import {type FrameChannel, FrameServer} from '@mustardferry/links';
 import {LifecycleManager} from '@mustardferry/runtime';
@@ -18,23 +18,17 @@
 import {sleep} from '../owner/waiting.js';
 import {type MemberLoad, OwnerWarmUp} from '../warm_up/owner_warm_up.js';
 import type {CallOutcome} from './call_outcome.js';
-import {FIRST_INCARNATION, firstVoters, toMemberIds} from './first_voters.js';
+import {FIRST_INCARNATION, firstVoters} from './first_voters.js';
+import {openGroupLog} from './group_log.js';
 import {createGroupView} from './group_view.js';
 import {LeaderClient} from './leader_client.js';
-import {LinkTransport} from './link_transport.js';
 import {LogWriteMonitor, openLogStorage} from './log_storage.js';
-import {
-  ELECTION_TIMEOUT_MS,
-  HEARTBEAT_MS,
-  REPLACE_SILENT_AFTER_MS,
-  SNAPSHOT_EVERY_ENTRIES,
-} from './log_timing.js';
 import type {MemberOptions} from './member_options.js';
 import {createMemberHello, MemberRegistry} from './member_registry.js';
 import {OrderCarrier} from './order_carrier.js';
 import {OrderRelay} from './order_relay.js';
 import {PauseDetector} from './pause_detector.js';
-import {getVoterCount} from './voter_placement.js';
+import {TermHandover} from './term_handover.js';
 import {WaitingCallers} from './waiting_callers.js';
 
 /** Interval in ms between checks for a changed view, which is then sent. */
@@ -50,6 +44,7 @@
   private readonly state = new DispatchState();
   private readonly registry: MemberRegistry;
   private readonly orderRelay: OrderRelay;
+  private readonly handover: TermHandover;
   private readonly carrier: OrderCarrier;
   private readonly pauseDetector: PauseDetector;
   private readonly client: LeaderClient;
@@ -67,6 +62,7 @@
     private readonly self: MemberId,
   ) {
     const {seeds, logger} = options;
+    this.handover = new TermHandover(options.address);
     this.pauseDetector = this.life.own(
       new PauseDetector(pausedMs => logger.warn('clock-jumped', {pausedMs})),
     );
@@ -85,6 +81,7 @@
     this.registry = new MemberRegistry({
       ...options,
       isConnected: other => this.client.isConnected(other),
+      send: (to, message) => this.client.send(to, message),
     });
     this.orderRelay = this.life.own(
       new OrderRelay({
@@ -183,19 +180,13 @@
       folder,
       getReceivedVoters: () => this.client.view?.firstVoters ?? [],
     });
-    const log = await ReplicatedLog.open<Command, CommandResult>({
+    const log = await openGroupLog({
+      ...this.options,
       self: this.self,
-      voters: toMemberIds(this.firstVoters),
-      mode: 'sync-everything',
+      firstVoters: this.firstVoters,
       storage,
-      transport: new LinkTransport(this.self, () => this.client),
+      client: () => this.client,
       machine: this.state,
-      heartbeatMs: HEARTBEAT_MS,
-      electionTimeoutMs: ELECTION_TIMEOUT_MS,
-      replaceSilentAfterMs: REPLACE_SILENT_AFTER_MS,
-      targetVoters: getVoterCount(this.options.toleratedFailures),
-      snapshotEveryEntries: SNAPSHOT_EVERY_ENTRIES,
-      onElection: election => logger.info('election-started', {...election}),
       onFailure: err => this.failed(err),
     });
     this.log = log;
@@ -214,13 +205,15 @@
     this.options.onFailure();
   }
 
-  private setLeadership({leader: leads, term, cause}: LeadershipChange): void {
-    const {options, log} = this;
+  private setLeadership(change: LeadershipChange): void {
+    const {leader: leads, term, cause} = change;
+    const {options, log, handover} = this;
     options.logger.info('leadership', {leads, term, cause});
     this.owner?.close();
     this.owner = null;
     if (!leads) this.orderRelay.close();
     if (leads && log) {
+      this.orderRelay.startTerm(handover.findSilentPredecessor(change));
       this.owner = new Owner({
         ...options,
         port: this.orderRelay.port,
@@ -228,6 +221,9 @@
         state: this.state,
         term,
         wasPaused: () => this.pauseDetector.wasPausedRecently,
+        learnedSpeeds: handover.speeds,
+        shareSpeeds: speeds =>
+          this.registry.sendToAll({type: 'speeds', term, speeds}),
       });
     }
     this.broadcastView();
@@ -250,7 +246,10 @@
         if (message.role !== 'member') return;
         this.registry.addMember(message);
         return this.client.addMembers([message.address]);
+      case 'speeds':
+        return this.handover.receiveSpeeds(message);
       case 'log':
+        this.orderRelay.memberHeard(message.from.name);
         this.log?.receive(message.from, message.message as LogMessage<Command>);
         return;
       case 'call':
@@ -294,6 +293,7 @@
     if (text === this.lastSentView) return;
     this.lastSentView = text;
     this.client.addOwnView(view);
+    this.handover.observeLeader(view.leader);
     this.server.broadcast({type: 'view', view});
   }
 }
--- a/packages/dispatch/src/instance/member_registry.ts
+++ b/packages/dispatch/src/instance/member_registry.ts
@@ -1,7 +1,7 @@
 /** Registry of the members that have connected to this one. */
 import type {MemberId, ReplicatedLog} from '@mustardferry/coordination';
 
-import type {Hello} from '../messages/peer_messages.js';
+import type {Hello, PeerMessage} from '../messages/peer_messages.js';
 import {
   getVoterCount,
   mayBecomeVoter,
@@ -14,6 +14,8 @@
   readonly toleratedFailures: number;
   /** Whether the connection to a member is open. */
   readonly isConnected: (address: string) => boolean;
+  /** Sends to a member; returns false if it is not connected. */
+  readonly send: (address: string, message: PeerMessage) => boolean;
 }
 
 /** Part of the log that accepts members as candidates for a vote. */
@@ -43,6 +45,13 @@
     this.byAddress.set(hello.address, hello);
   }
 
+  /** Sends a message to all members that are connected. */
+  sendToAll(message: PeerMessage): void {
+    for (const {address} of this.connectedMembers) {
+      this.options.send(address, message);
+    }
+  }
+
   /** Registers with the log the members that may get a vote. */
   registerEligibleVoters(log: VoterLog | null): void {
     if (!log) return;
--- a/packages/dispatch/src/instance/order_relay.ts
+++ b/packages/dispatch/src/instance/order_relay.ts
@@ -50,13 +50,30 @@
     });
   }
 
+  /**
+   * Starts a term.
+   *
+   * @param silentPredecessor Address of the leader that was replaced for its
+   *     silence; null if there is none.
+   */
+  startTerm(silentPredecessor: string | null): void {
+    this.port.selector.startTerm(silentPredecessor);
+  }
+
+  /** Records that a message of a member was received. */
+  memberHeard(address: string): void {
+    this.port.selector.memberHeard(address);
+  }
+
   /** Handles the outcome of an order that a carrier relayed. */
   outcome(carrier: string, {id, outcome}: OrderOutcomeMessage): void {
+    this.memberHeard(carrier);
     this.port.outcome(carrier, id, outcome);
   }
 
   /** Handles the loss of the connection to a carrier. */
   lost(carrier: string): void {
+    this.memberHeard(carrier);
     this.links.lost(carrier);
     this.port.lost(carrier);
   }
--- a/packages/dispatch/src/instance/relayed_port.ts
+++ b/packages/dispatch/src/instance/relayed_port.ts
@@ -90,7 +90,7 @@
  * session finds out the outcomes of other orders that were not answered.
  */
 export class RelayedPort extends UpstreamPort {
-  private readonly selector: CarrierSelector;
+  readonly selector: CarrierSelector;
   private readonly budget: RetryBudget;
   private readonly pending = new Map<number, Attempt>();
   private readonly heardAt = new Map<string, number>();
--- a/packages/dispatch/src/messages/peer_messages.ts
+++ b/packages/dispatch/src/messages/peer_messages.ts
@@ -1,6 +1,7 @@
 /** Messages on the connections between instances. */
 import type {LogMessage, MemberId} from '@mustardferry/coordination';
 
+import type {SpeedSnapshot} from '../owner/upstream_speed.js';
 import type {Call, CallOrigin, GroupView, Reply} from './calls.js';
 import type {
   OrderMessage,
@@ -18,12 +19,20 @@
   readonly incarnation: string;
 }
 
+/** Tells the other members the speeds that the leader has learned. */
+export interface SpeedsMessage {
+  readonly type: 'speeds';
+  readonly term: number;
+  readonly speeds: SpeedSnapshot;
+}
+
 /** A message between instances. */
 export type PeerMessage =
   | Hello
   | OrderMessage
   | OrderOutcomeMessage
   | OrdersEndMessage
+  | SpeedsMessage
   | {
       readonly type: 'call';
       readonly id: number;
--- a/packages/dispatch/src/owner/dispatcher.ts
+++ b/packages/dispatch/src/owner/dispatcher.ts
@@ -23,7 +23,7 @@
 import {Stragglers} from './stragglers.js';
 import {TaskOutcomes} from './task_outcomes.js';
 import type {UpstreamSession} from './upstream_session.js';
-import {UpstreamSpeed} from './upstream_speed.js';
+import type {UpstreamSpeed} from './upstream_speed.js';
 
 /** Proposes a command to the replicated log of the group. */
 export type Propose = (command: Command) => Promise<CommandResult>;
@@ -31,6 +31,7 @@
 export interface DispatcherOptions {
   readonly jobTable: JobTable;
   readonly activity: OwnerActivity;
+  readonly speed: UpstreamSpeed;
   readonly state: DispatchState;
   readonly propose: Propose;
   readonly logger: Logger;
@@ -67,7 +68,6 @@
     () => undefined;
   /** Called when the result of a job would come too late to be useful. */
   onUselessJob: (job: string) => void = () => undefined;
-  private readonly speed = new UpstreamSpeed();
   private readonly health = new OutlierEjection({
     consecutiveFailures: EJECTION_FAILURE_COUNT,
     firstProbeMs: FIRST_PROBE_MS,
@@ -81,21 +81,20 @@
   private readonly lost: LostRuns;
 
   constructor(private readonly options: DispatcherOptions) {
-    const {speed, health, discardedRuns} = this;
+    const {health, discardedRuns} = this;
     this.orphanedRuns = new OrphanedRuns({
       ...options,
       discardedRuns,
       isRecoveryComplete: () => this.isRecoveryComplete,
     });
     const placement = new PlacementPolicy(health, options.remoteFactor);
-    const shared = {...options, placement, speed, health};
+    const shared = {...options, placement, health};
     this.starter = new RunStarter({
       ...shared,
       onUselessJob: job => this.onUselessJob(job),
     });
     this.outcomes = new TaskOutcomes({
       ...options,
-      speed,
       health,
       discardedRuns,
       onTransientJobEnd: (job, state) => this.onTransientJobEnd(job, state),
@@ -149,7 +148,7 @@
   ): void {
     this.starter.remove(session);
     this.health.remove(session.key);
-    this.speed.forget(session.key);
+    this.options.speed.forget(session.key);
     session.close();
     this.orphanedRuns.removeSession(session);
     for (const run of session.runs.all) {
--- a/packages/dispatch/src/owner/owner.ts
+++ b/packages/dispatch/src/owner/owner.ts
@@ -20,6 +20,7 @@
 import {CommandProposer} from './proposer.js';
 import {SessionRegistry} from './session_registry.js';
 import type {Contact} from './session_types.js';
+import {type SpeedSnapshot, UpstreamSpeed} from './upstream_speed.js';
 
 /** Options of an owner. Durations are in milliseconds. */
 export interface OwnerOptions {
@@ -38,6 +39,10 @@
   readonly address: string;
   /** Whether the process was suspended, so that its clock can't be trusted. */
   readonly wasPaused: () => boolean;
+  /** Speeds that an earlier owner has learned; null if there are none. */
+  readonly learnedSpeeds?: SpeedSnapshot | null;
+  /** Receives the learned speeds about once a second, for the next owner. */
+  readonly shareSpeeds?: (speeds: SpeedSnapshot) => void;
 }
 
 /**
@@ -67,6 +72,7 @@
 export class Owner {
   readonly name = 'owner';
   private readonly jobTable = new JobTable();
+  private readonly speed: UpstreamSpeed;
   private readonly activity: OwnerActivity;
   private readonly dispatcher: Dispatcher;
   private readonly sessionRegistry: SessionRegistry;
@@ -83,7 +89,8 @@
   constructor(private readonly options: OwnerOptions) {
     const {log, logger, term, port, metrics} = options;
     this.activity = new OwnerActivity(metrics);
-    const {activity} = this;
+    this.speed = new UpstreamSpeed(options.learnedSpeeds);
+    const {activity, speed} = this;
     const leaseMs = Math.min(options.leaseMs, MAX_LEASE_MS);
     this.leaseMs = leaseMs;
     this.proposer = new CommandProposer(log, logger, activity);
@@ -92,6 +99,7 @@
       ...options,
       jobTable: this.jobTable,
       activity,
+      speed,
       propose: (command: Command) => this.proposer.propose(command),
       maySendOrders: () => this.orderGate.maySendOrders(),
     };
@@ -215,6 +223,8 @@
     this.sessionRegistry.removeInactiveUpstreams(performance.now());
     this.dispatcher.schedule();
     this.report();
+    const speeds = this.speed.takeSnapshot();
+    if (speeds) this.options.shareSpeeds?.(speeds);
     this.sweepCount++;
     if (this.sweepCount % SWEEPS_PER_EXPIRY !== 0) return;
     const before = Date.now() - this.options.keepEndedMs;
--- a/packages/dispatch/src/owner/upstream_speed.ts
+++ b/packages/dispatch/src/owner/upstream_speed.ts
@@ -35,6 +35,18 @@
 /** Time in ms for which a computed time factor is cached; it changes slowly. */
 const CACHE_MS = 50;
 
+/** Learned speeds, to be handed to the next owner. */
+export interface SpeedSnapshot {
+  /** Mean of all upstreams; natural logarithm of the time factor. */
+  readonly mean: number;
+  /** Estimate by key of the upstream, with the number of runs behind it. */
+  readonly upstreams: readonly (readonly [
+    key: string,
+    log: number,
+    runs: number,
+  ])[];
+}
+
 interface SpeedEstimate {
   /** Natural logarithm of the time factor. */
   readonly log: number;
@@ -52,6 +64,30 @@
   private readonly known = new Map<string, SpeedEstimate>();
   private mean = 0;
   private meanTimeFactor = 1;
+  private hasNewRuns = false;
+
+  /** @param learned Speeds that an earlier owner has learned. */
+  constructor(learned: SpeedSnapshot | null = null) {
+    if (!learned) return;
+    const at = performance.now();
+    this.mean = learned.mean;
+    this.meanTimeFactor = Math.exp(learned.mean);
+    for (const [key, log, runs] of learned.upstreams) {
+      const timeFactor = Math.exp(log);
+      const estimate = {log, at, runs, timeFactor, timeFactorAt: at};
+      this.known.set(key, estimate);
+    }
+  }
+
+  /** Returns all speeds if runs were observed since the last call, or null. */
+  takeSnapshot(): SpeedSnapshot | null {
+    if (!this.hasNewRuns) return null;
+    this.hasNewRuns = false;
+    const upstreams = [...this.known].map(
+      ([key, {log, runs}]) => [key, log, runs] as const,
+    );
+    return {mean: this.mean, upstreams};
+  }
 
   /**
    * Updates the estimate with the run time of a run that has ended, or the
@@ -74,6 +110,7 @@
     const timeFactor = Math.exp(next);
     const estimate = {log: next, at: now, runs, timeFactor, timeFactorAt: now};
     this.known.set(upstream, estimate);
+    this.hasNewRuns = true;
     this.mean += MEAN_WEIGHT * (bounded - this.mean);
     this.meanTimeFactor = Math.exp(this.mean);
   }
--- a/packages/dispatch/tests/instance/member_registry.test.ts
+++ b/packages/dispatch/tests/instance/member_registry.test.ts
@@ -15,6 +15,7 @@
 describe('MemberRegistry', () => {
   let connected: Set<string>;
   let registered: MemberId[];
+  let received: string[];
   let registry: MemberRegistry;
   const log = {
     status: () =>
@@ -27,11 +28,13 @@
   beforeEach(() => {
     connected = new Set(['m1', 'm2']);
     registered = [];
+    received = [];
     registry = new MemberRegistry({
       address: 'm0',
       dataCentre: 'a',
       toleratedFailures: 1,
       isConnected: address => connected.has(address),
+      send: address => received.push(address) > 0,
     });
     registry.addMember(createHello('m1', 'b'));
     registry.addMember(createHello('m2', 'c'));
@@ -39,6 +42,12 @@
     registered = [];
   });
 
+  it('sends to the connected members only', () => {
+    connected.delete('m1');
+    registry.sendToAll({type: 'view'} as never);
+    expect(received).to.deep.equal(['m2']);
+  });
+
   it('does not register a substitute while its data centre has a voter', () => {
     connected.add('m3');
     registry.addMember(createHello('m3', 'c'));
--- a/packages/dispatch/tests/owner/owner_activity.test.ts
+++ b/packages/dispatch/tests/owner/owner_activity.test.ts
@@ -29,7 +29,9 @@
     activity.recordDuration('pass', 3);
     activity.takeReport();
     activity.count('unanswered');
-    expect(activity.takeReport()).to.deep.equal({
+    const {cpuMs, ...counts} = activity.takeReport();
+    expect(cpuMs).to.be.within(0, performance.now());
+    expect(counts).to.deep.equal({
       offered: 0,
       examined: 0,
       started: 0,
--- a/packages/dispatch/tests/owner/upstream_speed.test.ts
+++ b/packages/dispatch/tests/owner/upstream_speed.test.ts
@@ -22,6 +22,27 @@
     expect(speed.getTimeFactor('odd', 0)).to.be.below(2.1);
   });
 
+  it('hands its estimates to the next owner, which goes on from them', () => {
+    const speed = new UpstreamSpeed();
+    for (let run = 0; run < 4; run++) speed.observe('slow', 300, 100, run);
+    const next = new UpstreamSpeed(speed.takeSnapshot());
+    const now = performance.now();
+    for (const key of ['slow', 'other']) {
+      const handed = next.getTimeFactor(key, now);
+      expect(handed).to.be.closeTo(speed.getTimeFactor(key, 4), 0.05);
+    }
+    next.observe('slow', 300, 100, now);
+    expect(next.getTimeFactor('slow', now)).to.be.above(2);
+  });
+
+  it('takes no snapshot while no run has ended since the last one', () => {
+    const speed = new UpstreamSpeed();
+    expect(speed.takeSnapshot()).to.equal(null);
+    speed.observe('slow', 300, 100, 0);
+    expect(speed.takeSnapshot()?.upstreams).to.have.length(1);
+    expect(speed.takeSnapshot()).to.equal(null);
+  });
+
   it('recognizes a slow upstream after two runs, so that a new one is not overused', () => {
     const speed = new UpstreamSpeed();
     for (let run = 0; run < 2; run++) speed.observe('slow', 180, 100, run);
--- a/packages/dispatch/tests/owner_harness.ts
+++ b/packages/dispatch/tests/owner_harness.ts
@@ -15,6 +15,7 @@
 import type {Step} from '../src/jobs/job_types.js';
 import type {Reply} from '../src/messages/calls.js';
 import {Owner} from '../src/owner/owner.js';
+import type {SpeedSnapshot} from '../src/owner/upstream_speed.js';
 import type {UpstreamPort} from '../src/upstreams/upstream_port.js';
 import {
   FAKE_LEASE_MS,
@@ -69,8 +70,11 @@
   readonly upstreams: FakeUpstream[];
   state = new DispatchState();
   paused = false;
+  /** Whether an owner gets the speeds that the one before has learned. */
+  handsOverSpeeds = true;
   metrics: Metrics = new NullMetrics();
   owner: Owner | null = null;
+  private speeds: SpeedSnapshot | null = null;
   private readonly storage = new MemoryLogStorage<Command>({syncMs: 9});
   private readonly port: UpstreamPort;
   private log: ReplicatedLog<Command, CommandResult> | null = null;
@@ -237,6 +241,8 @@
       keepEndedMs: 60_000,
       address: '10.0.1.1:1',
       wasPaused: () => this.paused,
+      learnedSpeeds: this.handsOverSpeeds ? this.speeds : null,
+      shareSpeeds: speeds => (this.speeds = speeds),
     });
   }
 }
