Refuse jobs that no next leader can serve in time

Change: mayWaitForLeader, a rule without input or output, keeps a job only while an election that ends soon still leaves time for its declared run time; after two rounds without a leader none is foreseen. It says not run only when no leader was sent the job. Stored jobs and other calls wait as before. The client's two new cases fail before: the long job was answered after 10 s.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -43,6 +43,7 @@
   type AdmissionInput,
   decideAdmission,
 } from './limits/admission.js';
+export {type LeaderWait, mayWaitForLeader} from './limits/leader_wait.js';
 export {
   checkRunnability,
   type Runnability,
--- a/packages/dispatch/src/instance/leader_client.ts
+++ b/packages/dispatch/src/instance/leader_client.ts
@@ -6,6 +6,8 @@
 import type {OrderOutcomeMessage} from '../messages/order_messages.js';
 import type {Hello, PeerMessage} from '../messages/peer_messages.js';
 import type {CallObstacle, CallOutcome} from './call_outcome.js';
+import {ChangeSignal} from './change_signal.js';
+import {LeaderlessPeriod} from './leaderless_period.js';
 
 /** Options of a client. */
 export interface LeaderClientOptions {
@@ -41,11 +43,19 @@
 /** Delay in ms before a call is retried, unless the view changes sooner. */
 const RETRY_DELAY_MS = 40;
 
+/** Obstacles after which a call may have taken effect. */
+const UNCERTAIN_OBSTACLES: readonly CallObstacle[] = [
+  'lost',
+  'timeout',
+  'interrupted',
+];
+
 /** Client of the leader, one per instance; owns the links to all members. */
 export class LeaderClient {
   readonly name = 'leader-client';
   private readonly peers = new Map<string, Peer>();
-  private readonly waiters = new Set<() => void>();
+  private readonly changes = new ChangeSignal();
+  private readonly leaderless = new LeaderlessPeriod();
   private nextCallId = 1;
   private known: GroupView | null = null;
   /** Since when no majority of voters is connected; null while one is. */
@@ -123,13 +133,15 @@
         return {type: 'unanswered', mayHaveRun, obstacle: 'refused'};
       }
       obstacle = typeof reply === 'object' ? reply.type : reply;
-      if (reply === 'lost' || reply === 'timeout') mayHaveRun = true;
-      if (typeof reply === 'object' && reply.type === 'interrupted') {
-        mayHaveRun = true;
+      if (UNCERTAIN_OBSTACLES.includes(obstacle)) mayHaveRun = true;
+      if (reply === 'no-leader' && !this.leaderless.mayWait(call, deadline)) {
+        return {type: 'unanswered', mayHaveRun, obstacle};
       }
       const maxDelayMs =
         reply === 'no-leader' ? ISOLATION_GRACE_MS : RETRY_DELAY_MS;
-      await this.changed(Math.min(maxDelayMs, deadline - performance.now()));
+      await this.changes.wait(
+        Math.min(maxDelayMs, deadline - performance.now()),
+      );
     }
   }
 
@@ -267,24 +279,12 @@
 
   private handleChange(): void {
     this.adjustLinkWatches();
+    this.leaderless.update(this.leader !== null);
     const voters = this.known?.voters ?? [];
     const connectedCount = voters.filter(v => this.isConnected(v)).length;
     if (connectedCount * 2 > voters.length) this.isolatedSince = null;
     else this.isolatedSince ??= performance.now();
-    for (const waiter of [...this.waiters]) waiter();
-  }
-
-  /** Resolves at the next change of the leader or a link, or on timeout. */
-  private changed(timeoutMs: number): Promise<void> {
-    return new Promise(resolve => {
-      const done = () => {
-        clearTimeout(timer);
-        this.waiters.delete(done);
-        resolve();
-      };
-      const timer = setTimeout(done, Math.max(1, timeoutMs));
-      this.waiters.add(done);
-    });
+    this.changes.notify();
   }
 }
 
--- a/packages/dispatch/src/jobs/job_types.ts
+++ b/packages/dispatch/src/jobs/job_types.ts
@@ -81,3 +81,13 @@
 export function getTaskKey({job, step, index}: TaskId): string {
   return `${job}/${step}/${index}`;
 }
+
+/** Returns the declared run times along the longest chain of steps, in ms. */
+export function computeCriticalPathMs(steps: readonly Step[]): number {
+  const ends: number[] = [];
+  for (const step of steps) {
+    const starts = step.after.map(earlier => ends[earlier] ?? 0);
+    ends.push(Math.max(0, ...starts) + step.declaredMs);
+  }
+  return Math.max(0, ...ends);
+}
--- a/packages/dispatch/src/owner/job_table.ts
+++ b/packages/dispatch/src/owner/job_table.ts
@@ -3,6 +3,7 @@
 import type {QueueConfig} from '../jobs/configuration.js';
 import {
   type AdmittedJob,
+  computeCriticalPathMs,
   getTaskKey,
   type JobProgress,
   type JobRequest,
@@ -233,12 +234,3 @@
   const criticalPathMs = computeCriticalPathMs(steps);
   return {criticalPathMs, objectiveMs: stretch * criticalPathMs + targetMs};
 }
-
-function computeCriticalPathMs(steps: readonly Step[]): number {
-  const ends: number[] = [];
-  for (const step of steps) {
-    const starts = step.after.map(earlier => ends[earlier] ?? 0);
-    ends.push(Math.max(0, ...starts) + step.declaredMs);
-  }
-  return Math.max(0, ...ends);
-}
--- a/packages/dispatch/src/owner/ready_queue.ts
+++ b/packages/dispatch/src/owner/ready_queue.ts
@@ -21,7 +21,7 @@
  * Least fraction of the declared run time that a run takes, as declared times
  * are off by about a third.
  */
-const MIN_RUN_TIME_FRACTION = 0.7;
+export const MIN_RUN_TIME_FRACTION = 0.7;
 
 /**
  * Value of a late result relative to one in time. A late job of which less than
--- a/packages/dispatch/tests/instance/leader_client.test.ts
+++ b/packages/dispatch/tests/instance/leader_client.test.ts
@@ -6,6 +6,8 @@
 import {LeaderClient} from '../../src/instance/leader_client.js';
 import type {Call, GroupView, Reply} from '../../src/messages/calls.js';
 import type {PeerMessage} from '../../src/messages/peer_messages.js';
+import {MIN_RUN_TIME_FRACTION} from '../../src/owner/ready_queue.js';
+import {step} from '../owner_harness.js';
 
 type CallHandler = (call: Call) => Reply | 'silence' | 'break';
 
@@ -13,6 +15,12 @@
 const REFUSED: Reply = {type: 'refused', reason: 'not-in-time'};
 const NO_JOB: Reply = {type: 'no-job'};
 
+function createSubmitCall(declaredMs: number): Call {
+  const steps = [step(1, {declaredMs: declaredMs / MIN_RUN_TIME_FRACTION})];
+  const job = {id: 'a', payload: '', steps, durable: false};
+  return {type: 'submit', host: 'h', path: '/a', patienceMs: 10_000, job};
+}
+
 class TestMember {
   answer: CallHandler = () => NO_JOB;
   calls = 0;
@@ -168,6 +176,25 @@
     });
   });
 
+  // Replays callers at full rate while a group is without a leader: each was
+  // held for its whole deadline.
+  it('fails a job at once that would end too late after an election', async () => {
+    getMember(0).broadcastView(createView(1, null));
+    const outcome = await client.call(createSubmitCall(9_800), 10_000);
+    expect(outcome).to.deep.equal({
+      type: 'unanswered',
+      mayHaveRun: false,
+      obstacle: 'no-leader',
+    });
+  });
+
+  it('keeps a short job for the next leader', async () => {
+    getMember(0).broadcastView(createView(1, null));
+    const call = client.call(createSubmitCall(100), 10_000);
+    getMember(0).broadcastView(createView(2, 1));
+    expect(await call).to.deep.equal({type: 'replied', reply: NO_JOB});
+  });
+
   it('reports that a call may have run when its leader does not answer', async () => {
     getMember(0).broadcastView(createView(1, 1));
     getMember(1).answer = () => 'silence';
