Notice a calm leader's loss sooner, and respect the lease of the one before

Cause: a lost leader was noticed after 0.6 to 1.2 s, and a pre-vote that other voters refused, as they had heard the leader a little later, was repeated only after another timeout. Voters whose connections to a leader were reset, or that restarted, elect the next one during the lease of the earlier one: its successor waited only for the leases of upstreams, so that both could start one task on an upstream that only the earlier one reached. Change: followers derive the election timeout from the gaps between the leader's messages, 300 ms for a calm one and 600 ms for a busy or new one, and promise just that time, which the leader's lease follows; earlier programs are promised the full timeout. Pre-candidates ask again after two heartbeat intervals. Voters tell a candidate what they had promised; the next owner waits for that time, too, before it starts tasks that may run elsewhere. votes.ts and voter_config.ts are split off.

--- a/packages/coordination/src/replicated_log/append_replies.ts
+++ b/packages/coordination/src/replicated_log/append_replies.ts
@@ -1,5 +1,5 @@
 /** Handles replies to append messages on the leader. */
-import type {LogCoreState, Progress} from './core_state.js';
+import type {LogCoreConfig, LogCoreState, Progress} from './core_state.js';
 import {
   advanceCommit,
   sendAppend,
@@ -23,7 +23,7 @@
   if (state.role !== 'leader' || message.term !== state.term || !peer) {
     return state;
   }
-  const known = updateProgress(state, peer, message);
+  const known = updateProgress(state, peer, message, ctx.cfg);
   const updated = {...state, progress: {...state.progress, [key]: known}};
   const committed = advanceCommit(ctx, updated);
   const current = committed.progress[key];
@@ -43,13 +43,18 @@
   state: LogCoreState<C>,
   peer: Progress,
   message: AppendReply,
+  cfg: LogCoreConfig,
 ): Progress {
-  const roundTime = state.roundTimes.find(time => time.round === message.round);
+  const roundAt =
+    state.roundTimes.find(({round}) => round === message.round)?.at ??
+    Number.NEGATIVE_INFINITY;
+  const {promisedMs = cfg.electionTimeoutMs} = message;
   const contacted: Progress = {
     ...peer,
     disk: message.disk,
     ackedRound: Math.max(peer.ackedRound, message.round),
-    ackedAt: Math.max(peer.ackedAt, roundTime?.at ?? Number.NEGATIVE_INFINITY),
+    ackedAt: Math.max(peer.ackedAt, roundAt),
+    promisedUntil: Math.max(peer.promisedUntil, roundAt + promisedMs),
   };
   if (!message.ok) {
     const next = Math.max(
--- a/packages/coordination/src/replicated_log/core_state.ts
+++ b/packages/coordination/src/replicated_log/core_state.ts
@@ -1,6 +1,7 @@
 /** State of the log's core, and queries on it. */
-import type {LogEntry, LogSnapshot, VoterChange} from './log_entries.js';
+import type {LogEntry, LogSnapshot} from './log_entries.js';
 import {getMemberKey, isSameMember, type MemberId} from './members.js';
+import {deriveVoterConfig} from './voter_config.js';
 
 export interface LogCoreConfig {
   /** Whether votes and entries are synced before they are acknowledged. */
@@ -9,6 +10,11 @@
   readonly heartbeatMs: number;
   /** Minimum of the randomized election timeout; the maximum is twice that. */
   readonly electionTimeoutMs: number;
+  /**
+   * Least election timeout while the messages of a leader arrive evenly;
+   * `electionTimeoutMs` by default.
+   */
+  readonly calmElectionTimeoutMs?: number;
   readonly maxEntriesPerMessage: number;
   /** Silence after which a voter may be replaced; never by default. */
   readonly replaceSilentAfterMs?: number;
@@ -27,6 +33,8 @@
   readonly ackedRound: number;
   /** When the newest round that the member answered was sent. */
   readonly ackedAt: number;
+  /** Until when the member has promised not to vote for another leader. */
+  readonly promisedUntil: number;
   /** When this leader started to replicate to the member. */
   readonly addedAt: number;
   /** When a snapshot was last sent; keeps heartbeats from resending it. */
@@ -82,6 +90,14 @@
   readonly heartbeatDeadline: number;
   /** When the last message from a leader was received. */
   readonly lastLeaderContactAt: number;
+  /** Longest gap between messages of the leader, decaying with time. */
+  readonly contactGapMs: number;
+  /** Until when this member has promised a leader not to vote for another. */
+  readonly promisedUntil: number;
+  /** Whether all connections to the leader were lost since its last message. */
+  readonly leaderLost: boolean;
+  /** Until when, as far as this candidate's voters know, a leader may act. */
+  readonly earlierLeaseUntil: number;
   readonly leaderSince: number;
   /** Set by a transfer; a late `timeout-now` of the term bypasses the lease. */
   readonly leaseRevoked: boolean;
@@ -143,6 +159,8 @@
     syncedIndex: cfg.hasDisk ? last : snapshot.index,
     matchedIndex: snapshot.index,
     electionDeadline: drawElectionDeadline(start, cfg),
+    // What this member promised before it restarted is not known.
+    promisedUntil: start.now + cfg.electionTimeoutMs,
   };
   const recovered = {...state, config: deriveVoterConfig(state)};
   // Lets a learner ask to join at its first tick.
@@ -157,6 +175,9 @@
   diskFailed: false,
   heartbeatDeadline: 0,
   lastLeaderContactAt: Number.NEGATIVE_INFINITY,
+  contactGapMs: 0,
+  leaderLost: true,
+  earlierLeaseUntil: Number.NEGATIVE_INFINITY,
   leaderSince: 0,
   leaseRevoked: false,
   lastLeaderRound: 0,
@@ -172,7 +193,7 @@
 /** Randomizes the deadline, so that members rarely campaign simultaneously. */
 export function drawElectionDeadline(
   event: {readonly now: number; readonly random: number},
-  cfg: LogCoreConfig,
+  cfg: Pick<LogCoreConfig, 'electionTimeoutMs'>,
 ): number {
   return event.now + cfg.electionTimeoutMs * (1 + event.random);
 }
@@ -196,63 +217,6 @@
   return getEntryAt(state, index)?.term ?? -1;
 }
 
-/** Derives the voter sets from the snapshot and the entries after it. */
-export function deriveVoterConfig<C>(state: LogCoreState<C>): VoterConfig {
-  const {commitIndex} = state;
-  let config: VoterConfig = {
-    voters: state.snapshot.voters,
-    outgoingVoters: null,
-    votersBeforeChange: null,
-    changeIndex: 0,
-    closingIndex: 0,
-    removedKeys: [],
-  };
-  for (const {index, replacement, closes} of state.entries) {
-    if (replacement) {
-      const {voters, removedKeys} = config;
-      const {remove} = replacement;
-      const committed = index <= commitIndex;
-      config = {
-        voters: applyVoterChange(voters, replacement),
-        outgoingVoters: committed ? null : voters,
-        votersBeforeChange: voters,
-        changeIndex: index,
-        closingIndex: 0,
-        removedKeys:
-          committed && remove
-            ? [...removedKeys, getMemberKey(remove)]
-            : removedKeys,
-      };
-    } else if (closes !== undefined) {
-      const votersBeforeChange =
-        index <= commitIndex ? null : config.votersBeforeChange;
-      config = {
-        ...config,
-        outgoingVoters: null,
-        votersBeforeChange,
-        closingIndex: index,
-      };
-    }
-  }
-  return config;
-}
-
-function applyVoterChange(
-  voters: readonly MemberId[],
-  {remove, add}: VoterChange,
-): readonly MemberId[] {
-  if (!remove) return [...voters, add];
-  return voters.map(voter => (isSameMember(voter, remove) ? add : voter));
-}
-
-/** Whether an entry starts or closes a voter change. */
-export function changesVoterConfig<C>({
-  replacement,
-  closes,
-}: LogEntry<C>): boolean {
-  return replacement !== undefined || closes !== undefined;
-}
-
 /** Whether this member is in the newest voter set of its log. */
 export function isVoter<C>(state: LogCoreState<C>): boolean {
   return state.config.voters.some(voter => isSameMember(voter, state.self));
--- a/packages/coordination/src/replicated_log/elections.ts
+++ b/packages/coordination/src/replicated_log/elections.ts
@@ -13,8 +13,7 @@
   type Progress,
 } from './core_state.js';
 import {appendLeaderEntry, broadcastAppend} from './leader_replication.js';
-import {isQuorumActive} from './leases.js';
-import type {VoteReply, VoteRequest} from './log_messages.js';
+import type {VoteReply} from './log_messages.js';
 import {getMemberKey, isSameMember, type MemberId} from './members.js';
 import {
   refusePendingReads,
@@ -22,6 +21,11 @@
   type StepContext,
 } from './step_context.js';
 
+/** Heartbeat intervals after which a pre-candidate asks for pre-votes again. */
+const PRE_VOTE_INTERVALS = 2;
+
+type Candidacy = 'pre-vote' | 'vote' | 'transfer';
+
 /** Changes to the follower role in the given term. */
 export function becomeFollower<C>(
   ctx: StepContext<C>,
@@ -52,7 +56,7 @@
 export function campaign<C>(
   ctx: StepContext<C>,
   state: LogCoreState<C>,
-  kind: 'pre-vote' | 'vote' | 'transfer',
+  kind: Candidacy,
 ): LogCoreState<C> {
   if (!isVoter(state)) return sendJoinRequests(ctx, state);
   // A later leader may lack the uncommitted change that makes this a voter.
@@ -69,63 +73,57 @@
     leader: null,
     matchedIndex: state.commitIndex,
     lastLeaderRound: 0,
-    electionDeadline: drawElectionDeadline(ctx, ctx.cfg),
+    electionDeadline: pre
+      ? drawPreVoteDeadline(ctx)
+      : drawElectionDeadline(ctx, ctx.cfg),
     votes: [self],
+    earlierLeaseUntil: getOwnEarlierLease(state, kind),
   };
   if (!pre) saveVote(ctx, next);
-  for (const member of getOtherVoters(next)) {
-    sendMessage(
-      ctx,
-      member,
-      {
-        type: 'vote',
-        term: state.term + 1,
-        pre,
-        transfer: kind === 'transfer',
-        lastIndex: lastIndex(state),
-        lastTerm: getTermAt(state, lastIndex(state)),
-      },
-      !pre,
-    );
-  }
+  requestVotes(ctx, next, kind);
   return countVotes(ctx, next);
 }
 
-/** Handles a request for a vote or pre-vote. */
-export function handleVoteRequest<C>(
+function requestVotes<C>(
   ctx: StepContext<C>,
   state: LogCoreState<C>,
-  from: MemberId,
-  message: VoteRequest,
+  kind: Candidacy,
+): void {
+  const pre = kind === 'pre-vote';
+  const request = {
+    type: 'vote' as const,
+    term: pre ? state.term + 1 : state.term,
+    pre,
+    transfer: kind === 'transfer',
+    lastIndex: lastIndex(state),
+    lastTerm: getTermAt(state, lastIndex(state)),
+  };
+  for (const member of getOtherVoters(state)) {
+    sendMessage(ctx, member, request, !pre);
+  }
+}
+
+/**
+ * Starts an election for a leader that has given up its lease, but may have
+ * been elected during the lease of an earlier one.
+ */
+export function campaignForTransfer<C>(
+  ctx: StepContext<C>,
+  state: LogCoreState<C>,
+  earlierLeaseMs = 0,
 ): LogCoreState<C> {
-  if (!message.transfer && hasActiveLeader(ctx, state)) return state;
-  if (message.pre) return handlePreVoteRequest(ctx, state, from, message);
-  const current =
-    message.term > state.term
-      ? becomeFollower(ctx, state, message.term, null)
-      : state;
-  const key = getMemberKey(from);
-  const granted =
-    message.term === current.term &&
-    (current.role === 'follower' || current.role === 'pre-candidate') &&
-    (current.votedFor === null || current.votedFor === key) &&
-    isLogUpToDate(current, message);
-  const next = granted
-    ? {
-        ...current,
-        role: 'follower' as const,
-        votedFor: key,
-        electionDeadline: drawElectionDeadline(ctx, ctx.cfg),
-      }
-    : current;
-  if (granted && current.votedFor === null) saveVote(ctx, next);
-  sendMessage(
-    ctx,
-    from,
-    {type: 'vote-reply', term: next.term, pre: false, granted},
-    true,
-  );
-  return next;
+  const earlierLeaseUntil = ctx.now + earlierLeaseMs;
+  return campaign(ctx, {...state, earlierLeaseUntil}, 'transfer');
+}
+
+/** Until when the leader that this member has followed may hold its lease. */
+function getOwnEarlierLease<C>(
+  state: LogCoreState<C>,
+  kind: Candidacy,
+): number {
+  if (kind === 'transfer') return state.earlierLeaseUntil;
+  const isAlone = getOtherVoters(state).length === 0;
+  return isAlone ? Number.NEGATIVE_INFINITY : state.promisedUntil;
 }
 
 /** Handles a reply to this member's request for votes or pre-votes. */
@@ -145,7 +143,23 @@
     : state.role === 'candidate' && message.term === state.term;
   const key = getMemberKey(from);
   if (!isExpected || state.votes.includes(key)) return state;
-  return countVotes(ctx, {...state, votes: [...state.votes, key]});
+  const {promisedMs = ctx.cfg.electionTimeoutMs} = message;
+  return countVotes(ctx, {
+    ...state,
+    votes: [...state.votes, key],
+    earlierLeaseUntil: message.pre
+      ? state.earlierLeaseUntil
+      : Math.max(state.earlierLeaseUntil, ctx.now + promisedMs),
+  });
+}
+
+/**
+ * Pre-votes change no state, so they are repeated soon: other members may have
+ * heard the lost leader later, and still wait for it.
+ */
+function drawPreVoteDeadline<C>({now, random, cfg}: StepContext<C>): number {
+  const delayMs = PRE_VOTE_INTERVALS * cfg.heartbeatMs * (1 + random);
+  return now + Math.min(delayMs, cfg.electionTimeoutMs);
 }
 
 /**
@@ -175,47 +189,8 @@
   };
 }
 
-function handlePreVoteRequest<C>(
-  ctx: StepContext<C>,
-  state: LogCoreState<C>,
-  from: MemberId,
-  message: VoteRequest,
-): LogCoreState<C> {
-  // Members that lose the same leader campaign simultaneously. Of those with
-  // equal logs only the one with the lowest key gets the pre-vote, which avoids
-  // a split vote.
-  const yieldsToSender =
-    state.role !== 'pre-candidate' ||
-    message.lastIndex > lastIndex(state) ||
-    getMemberKey(from) < getMemberKey(state.self);
-  const granted =
-    message.term > state.term &&
-    yieldsToSender &&
-    isLogUpToDate(state, message);
-  const term = granted ? message.term : state.term;
-  sendMessage(ctx, from, {type: 'vote-reply', term, pre: true, granted});
-  return state;
-}
-
-/** Whether a leader was active so recently that it may hold a lease. */
-function hasActiveLeader<C>(
-  ctx: StepContext<C>,
-  state: LogCoreState<C>,
-): boolean {
-  if (state.role === 'leader') return isQuorumActive(state, ctx);
-  return ctx.now - state.lastLeaderContactAt < ctx.cfg.electionTimeoutMs;
-}
-
-function isLogUpToDate<C>(
-  state: LogCoreState<C>,
-  message: VoteRequest,
-): boolean {
-  const term = getTermAt(state, lastIndex(state));
-  if (message.lastTerm !== term) return message.lastTerm > term;
-  return message.lastIndex >= lastIndex(state);
-}
-
-function saveVote<C>(ctx: StepContext<C>, state: LogCoreState<C>): void {
+/** Saves the term and the vote; nothing is kept in memory mode. */
+export function saveVote<C>(ctx: StepContext<C>, state: LogCoreState<C>): void {
   if (!ctx.cfg.syncEverything) return;
   const {term, votedFor} = state;
   ctx.effects.push({type: 'save-vote', term, votedFor});
@@ -276,6 +251,7 @@
     ackedRound: 0,
     addedAt,
     ackedAt: Number.NEGATIVE_INFINITY,
+    promisedUntil: Number.NEGATIVE_INFINITY,
     snapshotSentAt: Number.NEGATIVE_INFINITY,
   };
 }
--- a/packages/coordination/src/replicated_log/follower_replication.ts
+++ b/packages/coordination/src/replicated_log/follower_replication.ts
@@ -1,19 +1,14 @@
 /** Follower's side of replication: appends, conflicts and snapshots. */
 import {InvariantError} from '@mustardferry/model';
 
-import {
-  changesVoterConfig,
-  deriveVoterConfig,
-  drawElectionDeadline,
-  getTermAt,
-  lastIndex,
-  type LogCoreState,
-} from './core_state.js';
+import {getTermAt, lastIndex, type LogCoreState} from './core_state.js';
 import {becomeFollower} from './elections.js';
+import {getRemainingPromiseMs, observeLeader} from './leader_contact.js';
 import type {LogEntry} from './log_entries.js';
 import type {AppendMessage, InstallSnapshotMessage} from './log_messages.js';
 import type {MemberId} from './members.js';
 import {sendMessage, type StepContext} from './step_context.js';
+import {changesVoterConfig, deriveVoterConfig} from './voter_config.js';
 
 /** Handles entries or a heartbeat from a leader. */
 export function handleAppend<C>(
@@ -102,6 +97,7 @@
     synced: disk ? synced : 0,
     disk,
     round: state.lastLeaderRound,
+    promisedMs: getRemainingPromiseMs(state, ctx.now),
   });
 }
 
@@ -109,7 +105,7 @@
   ctx: StepContext<C>,
   state: LogCoreState<C>,
   from: MemberId,
-  message: {readonly term: number; readonly round: number},
+  message: AppendMessage<C> | InstallSnapshotMessage,
 ): LogCoreState<C> {
   const current =
     message.term > state.term || state.role !== 'follower'
@@ -118,9 +114,8 @@
   return {
     ...current,
     leader: from,
-    lastLeaderContactAt: ctx.now,
     lastLeaderRound: Math.max(current.lastLeaderRound, message.round),
-    electionDeadline: drawElectionDeadline(ctx, ctx.cfg),
+    ...observeLeader(ctx, state, from, message),
   };
 }
 
@@ -139,6 +134,7 @@
     synced: 0,
     disk: ctx.cfg.hasDisk && !state.diskFailed,
     round,
+    promisedMs: getRemainingPromiseMs(state, ctx.now),
   });
   return state;
 }
--- a/packages/coordination/src/replicated_log/leader_replication.ts
+++ b/packages/coordination/src/replicated_log/leader_replication.ts
@@ -1,7 +1,5 @@
 /** Leader's side of replication: sending entries and committing them. */
 import {
-  changesVoterConfig,
-  deriveVoterConfig,
   getTermAt,
   hasQuorum,
   lastIndex,
@@ -17,6 +15,7 @@
   type MemberId,
 } from './members.js';
 import {sendMessage, type StepContext} from './step_context.js';
+import {changesVoterConfig, deriveVoterConfig} from './voter_config.js';
 
 /** Send times kept; replies to older rounds do not extend the lease. */
 const MAX_ROUND_TIMES = 64;
@@ -119,6 +118,9 @@
     entries,
     commit: state.commitIndex,
     round,
+    ...(ctx.cfg.calmElectionTimeoutMs === undefined
+      ? {}
+      : {readsPromise: true}),
   });
   return needsSnapshot ? peer : {...peer, next: from + entries.length};
 }
@@ -193,7 +195,11 @@
   if (!state.transfer) return state;
   const target = state.progress[getMemberKey(state.transfer.to)];
   if (target && target.match === lastIndex(state)) {
-    sendMessage(ctx, target.member, {type: 'timeout-now', term: state.term});
+    sendMessage(ctx, target.member, {
+      type: 'timeout-now',
+      term: state.term,
+      earlierLeaseMs: Math.max(0, state.earlierLeaseUntil - ctx.now),
+    });
   }
   return state;
 }
--- a/packages/coordination/src/replicated_log/leadership.ts
+++ b/packages/coordination/src/replicated_log/leadership.ts
@@ -1,4 +1,5 @@
 /** Notifies listeners when this member gains or loses leadership. */
+import {committedInTerm, type LogCoreState} from './core_state.js';
 import type {
   LeadershipCause,
   LeadershipChange,
@@ -12,6 +13,7 @@
     leader: false,
     term: 0,
     cause: 'closed',
+    earlierLeaseMs: 0,
   };
 
   add(listener: LeadershipListener): () => void {
@@ -20,12 +22,32 @@
     return () => void this.listeners.delete(listener);
   }
 
-  /** Notifies of a change; a new term as leader is a loss and a gain. */
-  update(leader: boolean, term: number, cause: LeadershipCause): void {
+  /** Notifies of what a step of the core has changed. */
+  observe<C>(
+    state: LogCoreState<C>,
+    cause: LeadershipCause,
+    now: number,
+  ): void {
+    this.update({
+      leader: committedInTerm(state),
+      term: state.term,
+      cause,
+      earlierLeaseMs: Math.max(0, state.earlierLeaseUntil - now),
+    });
+  }
+
+  /** Notifies of the end of the member. */
+  close(term: number, cause: LeadershipCause): void {
+    this.update({leader: false, term, cause, earlierLeaseMs: 0});
+  }
+
+  /** A new term as leader is a loss and a gain. */
+  private update(change: LeadershipChange): void {
     const {current} = this;
+    const {leader, term} = change;
     if (leader === current.leader && (!leader || term === current.term)) return;
-    if (leader && current.leader) this.notify({leader: false, term, cause});
-    this.notify({leader, term, cause});
+    if (leader && current.leader) this.notify({...change, leader: false});
+    this.notify(change);
   }
 
   private notify(change: LeadershipChange): void {
--- a/packages/coordination/src/replicated_log/leases.ts
+++ b/packages/coordination/src/replicated_log/leases.ts
@@ -54,25 +54,35 @@
 export function getQuorumAckTime<C>(
   state: LogCoreState<C>,
   now: number,
+): number {
+  return findQuorumTime(state, 'ackedAt', now);
+}
+
+/** Returns the latest time that holds for a quorum, with the leader's own. */
+function findQuorumTime<C>(
+  state: LogCoreState<C>,
+  field: 'ackedAt' | 'promisedUntil',
+  ownTime: number,
 ): number {
   if (state.role !== 'leader') return Number.NEGATIVE_INFINITY;
-  const ackedAt = (member: MemberId) =>
+  const getTime = (member: MemberId) =>
     isSameMember(member, state.self)
-      ? now
-      : (state.progress[getMemberKey(member)]?.ackedAt ?? -Infinity);
+      ? ownTime
+      : (state.progress[getMemberKey(member)]?.[field] ?? -Infinity);
   const {voters, outgoingVoters} = state.config;
-  const times = [...voters, ...(outgoingVoters ?? [])].map(ackedAt);
+  const times = [...voters, ...(outgoingVoters ?? [])].map(getTime);
   times.sort((a, b) => b - a);
   return (
-    times.find(at => hasQuorum(state.config, m => ackedAt(m) >= at)) ??
+    times.find(at => hasQuorum(state.config, m => getTime(m) >= at)) ??
     Number.NEGATIVE_INFINITY
   );
 }
 
 /**
  * Returns the end of the leader's lease. Until then no member grants a vote,
- * except to the target of a leadership transfer, which ends the lease, and
- * after a `peer-lost` event, which trades the lease for a faster election.
+ * except to the target of a leadership transfer, which ends the lease, and after
+ * a `peer-lost` event or a restart. Voters tell their candidate for how long
+ * such a lease may last; the next leader has to respect it.
  */
 export function leaseUntil<C>(
   state: LogCoreState<C>,
@@ -81,7 +91,7 @@
   if (state.role !== 'leader' || state.leaseRevoked) {
     return Number.NEGATIVE_INFINITY;
   }
-  return getQuorumAckTime(state, now) + cfg.electionTimeoutMs;
+  return findQuorumTime(state, 'promisedUntil', now + cfg.electionTimeoutMs);
 }
 
 /**
--- a/packages/coordination/src/replicated_log/log_messages.ts
+++ b/packages/coordination/src/replicated_log/log_messages.ts
@@ -14,6 +14,8 @@
   readonly prevTerm: number;
   readonly entries: readonly LogEntry<C>[];
   readonly commit: number;
+  /** Whether the leader's lease follows `AppendReply.promisedMs`. */
+  readonly readsPromise?: true;
   /** Echoed by the reply; shows the leader which reads a reply confirms. */
   readonly round: number;
 }
@@ -35,6 +37,11 @@
   readonly synced: number;
   readonly disk: boolean;
   readonly round: number;
+  /**
+   * Time from the receipt of the round for which the member votes for no other
+   * leader; the election timeout if absent.
+   */
+  readonly promisedMs?: number;
 }
 
 /** Requests a vote or, with `pre`, a pre-vote. */
@@ -52,11 +59,18 @@
   readonly type: 'vote-reply';
   readonly pre: boolean;
   readonly granted: boolean;
+  /**
+   * Remaining time for which the member had promised an earlier leader not to
+   * vote for another; the election timeout if absent.
+   */
+  readonly promisedMs?: number;
 }
 
 /** Lets the target of a leadership transfer start an election at once. */
 export interface TimeoutNowMessage extends AddressedMessage {
   readonly type: 'timeout-now';
+  /** `LeadershipChange.earlierLeaseMs` of the sender; 0 if absent. */
+  readonly earlierLeaseMs?: number;
 }
 
 /** Asks the leader to replicate to the sender as a learner. */
--- a/packages/coordination/src/replicated_log/log_options.ts
+++ b/packages/coordination/src/replicated_log/log_options.ts
@@ -25,6 +25,11 @@
   readonly heartbeatMs?: number;
   /** Minimum election timeout, the maximum is twice that; 400 by default. */
   readonly electionTimeoutMs?: number;
+  /**
+   * Minimum election timeout while the messages of a leader arrive evenly;
+   * `electionTimeoutMs` by default.
+   */
+  readonly calmElectionTimeoutMs?: number;
   /** Maximum number of entries in a message; 64 by default. */
   readonly maxEntriesPerMessage?: number;
   /** Maximum number of commands in an entry; 1,000 by default. */
@@ -69,6 +74,9 @@
     maxEntriesPerMessage: options.maxEntriesPerMessage ?? 64,
     maxBatch: options.maxBatch ?? 1000,
     snapshotEveryEntries: options.snapshotEveryEntries ?? 1000,
+    ...(options.calmElectionTimeoutMs === undefined
+      ? {}
+      : {calmElectionTimeoutMs: options.calmElectionTimeoutMs}),
     ...(options.replaceSilentAfterMs === undefined
       ? {}
       : {replaceSilentAfterMs: options.replaceSilentAfterMs}),
@@ -139,6 +147,11 @@
   readonly leader: boolean;
   readonly term: number;
   readonly cause: LeadershipCause;
+  /**
+   * Time in ms for which an earlier leader may still hold its lease: voters
+   * that lost their connections to it, or restarted, don't wait for its end.
+   */
+  readonly earlierLeaseMs: number;
 }
 
 /** Called when this member gains or loses leadership. */
--- a/packages/coordination/src/replicated_log/replicated_log.ts
+++ b/packages/coordination/src/replicated_log/replicated_log.ts
@@ -1,7 +1,7 @@
 /** Connects the log's core to timers, storage, transport and state machine. */
 import type {LogEffect, LogEvent} from './core_events.js';
 import {CoreRunner} from './core_runner.js';
-import {committedInTerm, lastIndex, type LogCoreState} from './core_state.js';
+import {lastIndex, type LogCoreState} from './core_state.js';
 import {getDurableIndex} from './durability.js';
 import {EffectRunner} from './effect_runner.js';
 import {LeadershipNotifier} from './leadership.js';
@@ -214,7 +214,7 @@
     this.proposals.close(cause);
     this.reads.close(this.core.state.leader);
     const lossCause = cause ? 'log-failed' : 'closed';
-    this.leadership.update(false, this.core.state.term, lossCause);
+    this.leadership.close(this.core.state.term, lossCause);
   }
 
   private handleStep(
@@ -232,8 +232,7 @@
     if (before.role === 'leader' && !leads) {
       this.proposals.rejectAfterLeadershipLoss(state.leader);
     }
-    const {cause} = this.roleChanges;
-    this.leadership.update(committedInTerm(state), state.term, cause);
+    this.leadership.observe(state, this.roleChanges.cause, event.now);
   }
 
   private applyCommitted(): void {
--- a/packages/coordination/src/replicated_log/step.ts
+++ b/packages/coordination/src/replicated_log/step.ts
@@ -8,7 +8,6 @@
 import {handleAppendReply} from './append_replies.js';
 import type {LogEffect, LogEvent, StepResult} from './core_events.js';
 import {
-  deriveVoterConfig,
   getTermAt,
   isVoter,
   lastIndex,
@@ -18,9 +17,9 @@
 import {
   becomeFollower,
   campaign,
+  campaignForTransfer,
   createProgress,
   handleVoteReply,
-  handleVoteRequest,
 } from './elections.js';
 import {
   acknowledgeAppend,
@@ -39,6 +38,8 @@
 import {getMemberKey, isSameMember, type MemberId} from './members.js';
 import type {StepContext} from './step_context.js';
 import {canBecomeVoter, promoteLearner} from './voter_changes.js';
+import {deriveVoterConfig} from './voter_config.js';
+import {handleVoteRequest} from './votes.js';
 
 /** Election timeouts without a reply after which a learner is removed. */
 const LEARNER_EXPIRY_TIMEOUTS = 10;
@@ -135,7 +136,7 @@
       return handleVoteReply(ctx, state, from, message);
     case 'timeout-now':
       return message.term === state.term && state.role === 'follower'
-        ? campaign(ctx, state, 'transfer')
+        ? campaignForTransfer(ctx, state, message.earlierLeaseMs)
         : state;
     case 'join':
       return addLearner(ctx, state, from);
@@ -195,7 +196,9 @@
   if (state.role === 'leader') {
     const entries = Object.entries(state.progress).map(([key, peer]) => [
       key,
-      peer.member.name === name ? {...peer, ackedAt: -Infinity} : peer,
+      peer.member.name === name
+        ? {...peer, ackedAt: -Infinity, promisedUntil: -Infinity}
+        : peer,
     ]);
     return {...state, progress: Object.fromEntries(entries)};
   }
@@ -203,6 +206,7 @@
   const alone = {
     ...state,
     leader: null,
+    leaderLost: true,
     lastLeaderContactAt: Number.NEGATIVE_INFINITY,
   };
   return isVoter(state) ? campaign(ctx, alone, 'pre-vote') : alone;
--- a/packages/coordination/tests/replicated_log/core_state.test.ts
+++ b/packages/coordination/tests/replicated_log/core_state.test.ts
@@ -1,10 +1,8 @@
 import {expect} from 'chai';
 
-import {
-  createInitialState,
-  deriveVoterConfig,
-} from '../../src/replicated_log/core_state.js';
+import {createInitialState} from '../../src/replicated_log/core_state.js';
 import {step} from '../../src/replicated_log/step.js';
+import {deriveVoterConfig} from '../../src/replicated_log/voter_config.js';
 
 const CFG = {
   syncEverything: false,
--- a/packages/coordination/tests/replicated_log/leases.test.ts
+++ b/packages/coordination/tests/replicated_log/leases.test.ts
@@ -1,9 +1,18 @@
 import {expect} from 'chai';
 
-import type {LogCoreState} from '../../src/replicated_log/core_state.js';
+import type {
+  LogCoreConfig,
+  LogCoreState,
+} from '../../src/replicated_log/core_state.js';
 import {LeaseReader} from '../../src/replicated_log/leases.js';
 
-const CFG = {electionTimeoutMs: 600} as never;
+const CFG: LogCoreConfig = {
+  syncEverything: true,
+  hasDisk: true,
+  heartbeatMs: 60,
+  electionTimeoutMs: 600,
+  maxEntriesPerMessage: 10,
+};
 
 const MEMBERS = ['a', 'b', 'c'].map(name => ({name, incarnation: 'first'}));
 
@@ -22,7 +31,7 @@
     progress: Object.fromEntries(
       Object.entries(acks).map(([name, ackedAt]) => [
         `${name}#first`,
-        {ackedAt},
+        {ackedAt, promisedUntil: ackedAt + CFG.electionTimeoutMs},
       ]),
     ),
     ...fields,
--- a/packages/decisions/src/limits/leader_wait.ts
+++ b/packages/decisions/src/limits/leader_wait.ts
@@ -16,8 +16,9 @@
   readonly deadlineAt: number;
   /** Least time from the arrival at a leader to the answer. */
   readonly minServiceMs: number;
-  /** Least duration of an election; one round takes up to twice as long. */
-  readonly electionMs: number;
+  /** Least and most duration of one round of an election. */
+  readonly minElectionMs: number;
+  readonly maxElectionMs: number;
 }
 
 /** Election rounds of full length after which no leader can be foreseen. */
@@ -28,9 +29,8 @@
  * as soon as it may.
  */
 export function mayWaitForLeader(wait: LeaderWait): boolean {
-  const {now, leaderlessSince, electionMs} = wait;
-  const roundMs = 2 * electionMs;
-  if (now - leaderlessSince > MAX_ELECTION_ROUNDS * roundMs) return false;
-  const expectedAt = Math.max(now, leaderlessSince + electionMs);
+  const {now, leaderlessSince, minElectionMs, maxElectionMs} = wait;
+  if (now - leaderlessSince > MAX_ELECTION_ROUNDS * maxElectionMs) return false;
+  const expectedAt = Math.max(now, leaderlessSince + minElectionMs);
   return expectedAt + wait.minServiceMs <= wait.deadlineAt;
 }
--- a/packages/decisions/tests/limits/leader_wait.test.ts
+++ b/packages/decisions/tests/limits/leader_wait.test.ts
@@ -5,7 +5,11 @@
 const ELECTION_MS = 600;
 
 /** The leader is lost at 0. */
-const LOST = {leaderlessSince: 0, electionMs: ELECTION_MS};
+const LOST = {
+  leaderlessSince: 0,
+  minElectionMs: ELECTION_MS,
+  maxElectionMs: 2 * ELECTION_MS,
+};
 
 describe('mayWaitForLeader', () => {
   const cases = [
--- a/packages/dispatch/src/instance/leaderless_period.ts
+++ b/packages/dispatch/src/instance/leaderless_period.ts
@@ -7,7 +7,10 @@
   DISPATCH_OVERHEAD_MS,
   MIN_RUN_TIME_FRACTION,
 } from '../owner/ready_queue.js';
-import {ELECTION_TIMEOUT_MS} from './log_timing.js';
+import {CALM_ELECTION_TIMEOUT_MS, ELECTION_TIMEOUT_MS} from './log_timing.js';
+
+/** Most time in ms until a follower campaigns. */
+const MAX_ELECTION_MS = 2 * ELECTION_TIMEOUT_MS;
 
 /** Tracks since when no leader is connected. */
 export class LeaderlessPeriod {
@@ -31,7 +34,8 @@
       leaderlessSince: this.since,
       deadlineAt,
       minServiceMs: runMs + DISPATCH_OVERHEAD_MS,
-      electionMs: ELECTION_TIMEOUT_MS,
+      minElectionMs: CALM_ELECTION_TIMEOUT_MS,
+      maxElectionMs: MAX_ELECTION_MS,
     });
   }
 }
--- a/packages/dispatch/src/instance/log_timing.ts
+++ b/packages/dispatch/src/instance/log_timing.ts
@@ -10,6 +10,12 @@
  */
 export const ELECTION_TIMEOUT_MS = 600;
 
+/**
+ * Minimum election timeout in ms for a leader whose messages have come evenly
+ * for some seconds: one turn of 250 ms must not trigger an election.
+ */
+export const CALM_ELECTION_TIMEOUT_MS = 300;
+
 /**
  * Time in ms without contact after which a voter may be replaced by another
  * member. It is longer than the restart of a machine takes.
@@ -21,6 +27,7 @@
   mode: 'sync-everything',
   heartbeatMs: HEARTBEAT_MS,
   electionTimeoutMs: ELECTION_TIMEOUT_MS,
+  calmElectionTimeoutMs: CALM_ELECTION_TIMEOUT_MS,
   replaceSilentAfterMs: REPLACE_SILENT_AFTER_MS,
   // Each snapshot takes tens of ms.
   snapshotEveryEntries: 2_000,
--- a/packages/dispatch/src/instance/member.ts
+++ b/packages/dispatch/src/instance/member.ts
@@ -206,7 +206,7 @@
   }
 
   private setLeadership(change: LeadershipChange): void {
-    const {leader: leads, term, cause} = change;
+    const {leader: leads, term, cause, earlierLeaseMs} = change;
     const {options, log, handover} = this;
     options.logger.info('leadership', {leads, term, cause});
     this.owner?.close();
@@ -220,6 +220,7 @@
         log,
         state: this.state,
         term,
+        earlierLeaseMs,
         wasPaused: () => this.pauseDetector.wasPausedRecently,
         learnedSpeeds: handover.speeds,
         shareSpeeds: speeds =>
--- a/packages/dispatch/src/owner/owner.ts
+++ b/packages/dispatch/src/owner/owner.ts
@@ -30,6 +30,8 @@
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly term: number;
+  /** For how long an earlier leader may still give orders; 0 by default. */
+  readonly earlierLeaseMs?: number;
   /** Longest lease that upstreams grant. */
   readonly leaseMs: number;
   readonly remoteFactor: number;
@@ -167,7 +169,7 @@
   }
 
   private startTerm(): void {
-    const {state, term, logger} = this.options;
+    const {state, term, logger, earlierLeaseMs = 0} = this.options;
     const now = performance.now();
     for (const record of state.jobs.values()) {
       if (record.outcome !== 'open') continue;
@@ -185,8 +187,10 @@
       upstreams: this.unfencedUpstreams.size,
       openJobs: this.jobTable.openCount,
       revision: state.queues?.configuration.revision,
+      earlierLeaseMs: Math.round(earlierLeaseMs),
     });
-    const settleMs = this.leaseMs * CLOCK_DRIFT_FACTOR + IN_FLIGHT_MARGIN_MS;
+    const settleMs =
+      earlierLeaseMs + this.leaseMs * CLOCK_DRIFT_FACTOR + IN_FLIGHT_MARGIN_MS;
     this.timers.push(
       setTimeout(() => this.completeFencing('leases expired'), settleMs),
     );
--- a/packages/dispatch/tests/instance/log_timing.test.ts
+++ b/packages/dispatch/tests/instance/log_timing.test.ts
@@ -9,6 +9,7 @@
 import {expect} from 'chai';
 
 import {
+  CALM_ELECTION_TIMEOUT_MS,
   ELECTION_TIMEOUT_MS,
   HEARTBEAT_MS,
 } from '../../src/instance/log_timing.js';
@@ -40,6 +41,7 @@
         machine: new DispatchState(),
         heartbeatMs: HEARTBEAT_MS,
         electionTimeoutMs: ELECTION_TIMEOUT_MS,
+        calmElectionTimeoutMs: CALM_ELECTION_TIMEOUT_MS,
         random: () => i / VOTERS.length,
       });
       this.logs.set(self.name, log);
--- a/packages/dispatch/tests/instance/term_handover.test.ts
+++ b/packages/dispatch/tests/instance/term_handover.test.ts
@@ -21,7 +21,7 @@
   ] as const;
   for (const {cause, predecessor} of causes) {
     it(`names ${predecessor ?? 'no leader'} as silent after ${cause}`, () => {
-      const change = {leader: true, term: 2, cause};
+      const change = {leader: true, term: 2, cause, earlierLeaseMs: 0};
       expect(handover.findSilentPredecessor(change)).to.equal(predecessor);
     });
   }
--- a/packages/dispatch/tests/owner_harness.ts
+++ b/packages/dispatch/tests/owner_harness.ts
@@ -72,6 +72,8 @@
   paused = false;
   /** Whether an owner gets the speeds that the one before has learned. */
   handsOverSpeeds = true;
+  /** For how long an owner is told that the one before may give orders. */
+  earlierLeaseMs = 0;
   metrics: Metrics = new NullMetrics();
   owner: Owner | null = null;
   private speeds: SpeedSnapshot | null = null;
@@ -236,6 +238,7 @@
       logger: this.logger,
       metrics: this.metrics,
       term,
+      earlierLeaseMs: this.earlierLeaseMs,
       leaseMs: FAKE_LEASE_MS,
       remoteFactor: 2,
       keepEndedMs: 60_000,
--- a/packages/links/src/log_frames.ts
+++ b/packages/links/src/log_frames.ts
@@ -4,12 +4,18 @@
 import {PeerProtocolError} from './errors.js';
 import type {LogEnvelope, PeerIdentity} from './peer_messages.js';
 
-type FieldsOf<M> = Readonly<Record<Exclude<keyof M, 'type' | 'to'>, true>>;
+type RequiredKey<M> = {
+  [K in keyof M]-?: undefined extends M[K] ? never : K;
+}[keyof M];
+type FieldsOf<M> = Readonly<
+  Record<Exclude<RequiredKey<M>, 'type' | 'to'>, true>
+>;
 type MessageType = LogMessage['type'];
 
 /**
  * Fields of each message in the order in which they are sent. The type makes
- * a field that is missing here a compile error.
+ * a required field that is missing here a compile error; optional ones are not
+ * sent.
  */
 const FIELDS: {
   readonly [T in MessageType]: FieldsOf<Extract<LogMessage, {type: T}>>;
--- a/packages/verification/src/group_model.ts
+++ b/packages/verification/src/group_model.ts
@@ -181,7 +181,14 @@
   const progress = Object.fromEntries(
     Object.entries(core.progress).map(([key, peer]) => [
       key,
-      {...peer, ackedRound: 0, ackedAt: 0, addedAt: 0, snapshotSentAt: -1000},
+      {
+        ...peer,
+        ackedRound: 0,
+        ackedAt: 0,
+        promisedUntil: 0,
+        addedAt: 0,
+        snapshotSentAt: -1000,
+      },
     ]),
   );
   return {
@@ -190,6 +197,10 @@
     electionDeadline: 0,
     heartbeatDeadline: 0,
     lastLeaderContactAt: -1000,
+    contactGapMs: 0,
+    promisedUntil: 0,
+    leaderLost: false,
+    earlierLeaseUntil: 0,
     leaderSince: 0,
     lastLeaderRound: 0,
     round: 0,
