Close what a warm-up opens while its process stops

Cause: a warm-up that was closed early went on to open its server, connection and log, which nobody closed, so that a process that stopped, and mocha, did not end (owner_warm_up and warm_up tests hung after passing). Change: close waits for the current batch, and the resources are closed after it.

--- a/packages/dispatch/src/warm_up/owner_warm_up.ts
+++ b/packages/dispatch/src/warm_up/owner_warm_up.ts
@@ -110,7 +110,7 @@
   private jobs = 0;
 
   constructor(private readonly options: OwnerWarmUpOptions) {
-    this.done = this.run().finally(() => this.close());
+    this.done = this.run().finally(() => this.life.close());
   }
 
   /** Number of stand-in jobs that have ended. */
@@ -118,9 +118,10 @@
     return this.jobs;
   }
 
+  /** Ends the warm-up after its current batch. */
   async close(): Promise<void> {
     this.closed = true;
-    await this.life.close();
+    await this.done;
   }
 
   private async run(): Promise<void> {
