Look up lost starts sooner while answers come soon

Cause: a start without an answer was looked up after 80 ms, whatever the usual answer time. Where upstreams leave 5.5% of the starts unanswered, more than a third of the jobs with eight short tasks lose one, and miss their objective. Change: OrderTimeout derives the timeout of starts from the answer times, as RFC 6298 does, between 30 and 80 ms; on a busy machine it grows by itself.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -64,6 +64,10 @@
   HedgingPolicy,
   NoHedging,
 } from './retries/hedging.js';
+export {
+  OrderTimeout,
+  type OrderTimeoutOptions,
+} from './retries/order_timeout.js';
 export {
   type BudgetDecision,
   RetryBudget,
--- a/packages/dispatch/src/owner/owner.ts
+++ b/packages/dispatch/src/owner/owner.ts
@@ -20,6 +20,7 @@
 import {CommandProposer} from './proposer.js';
 import {SessionRegistry} from './session_registry.js';
 import type {Contact} from './session_types.js';
+import {StartTimeoutPort} from './start_timeout_port.js';
 import {type SpeedSnapshot, UpstreamSpeed} from './upstream_speed.js';
 
 /** Options of an owner. Durations are in milliseconds. */
@@ -118,7 +119,7 @@
       dispatcher,
       token: term,
       leaseMs,
-      port: new MeasuredPort(port, activity),
+      port: new MeasuredPort(new StartTimeoutPort(port), activity),
     });
     const {sessionRegistry} = this;
     this.callHandler = new CallHandler({
--- a/packages/dispatch/src/owner/session_timing.ts
+++ b/packages/dispatch/src/owner/session_timing.ts
@@ -5,10 +5,12 @@
   /** Timeout of a stop: 100 round trips. */
   stopMs: 200,
   /**
-   * Timeout of a start: 40 round trips. If the start order of a short task is
-   * lost, the task can still meet its objective on another upstream.
+   * Longest timeout of a start: 40 round trips. If the start order of a short
+   * task is lost, the task can still meet its objective on another upstream.
    */
   startMs: 80,
+  /** Least timeout of a start, while answers come soon: 15 round trips. */
+  minStartMs: 30,
   /** Timeout of a hold, in addition to its wait for a run end. */
   holdMs: 80,
   /**
