Match orphaned runs by their number and upstream, and count them as runs

Cause: the end of any run of a task freed the task's orphaned run, so that the task started beside it; a second orphaned run of a task was not stopped. A job that an earlier leader had started for another gateway was refused as not run while upstreams listed its runs. Change: OrphanedRuns keeps all listed runs of a task and matches ends by upstream and number; TransientJobs.mayHaveRun asks it and the early ends. Propose moves to its implementation.

--- a/packages/dispatch/src/owner/call_handler.ts
+++ b/packages/dispatch/src/owner/call_handler.ts
@@ -28,9 +28,10 @@
   extractJobId,
   type SubmitCall,
 } from './call_conversion.js';
-import type {Dispatcher, Propose} from './dispatcher.js';
+import type {Dispatcher} from './dispatcher.js';
 import {computeExpectedTimes, type JobTable} from './job_table.js';
 import type {Arrival} from './job_table_types.js';
+import type {Propose} from './proposer.js';
 import type {SessionRegistry} from './session_registry.js';
 import {TransientJobs} from './transient_jobs.js';
 
--- a/packages/dispatch/src/owner/dispatcher.ts
+++ b/packages/dispatch/src/owner/dispatcher.ts
@@ -2,7 +2,7 @@
 import {OutlierEjection} from '@mustardferry/decisions';
 import type {Logger, Metrics} from '@mustardferry/runtime';
 
-import type {Command, CommandResult, CountedRunEnd} from '../jobs/commands.js';
+import type {CountedRunEnd} from '../jobs/commands.js';
 import type {QueueConfig} from '../jobs/configuration.js';
 import type {DispatchState} from '../jobs/dispatch_state.js';
 import {type AdmittedJob, getTaskKey} from '../jobs/job_types.js';
@@ -18,6 +18,7 @@
 import {OrphanedRuns} from './orphaned_runs.js';
 import type {OwnerActivity} from './owner_activity.js';
 import {PlacementPolicy} from './placement.js';
+import type {Propose} from './proposer.js';
 import {type NewJob, RunStarter} from './run_starter.js';
 import type {Contact, SessionEvents} from './session_types.js';
 import {Stragglers} from './stragglers.js';
@@ -25,9 +26,6 @@
 import type {UpstreamSession} from './upstream_session.js';
 import type {UpstreamSpeed} from './upstream_speed.js';
 
-/** Proposes a command to the replicated log of the group. */
-export type Propose = (command: Command) => Promise<CommandResult>;
-
 export interface DispatcherOptions {
   readonly jobTable: JobTable;
   readonly activity: OwnerActivity;
@@ -183,6 +181,11 @@
     this.schedule();
   }
 
+  /** Whether an upstream lists runs or ends of a job that is not open here. */
+  isListed(job: string): boolean {
+    return this.earlyEndJobs.has(job) || this.orphanedRuns.hasRunsOf(job);
+  }
+
   /** Number of orphaned runs. */
   get orphanCount(): number {
     return this.orphanedRuns.orphanCount;
@@ -198,15 +201,14 @@
   }
 
   contactChanged(session: UpstreamSession, from: Contact, cause: string): void {
-    const {contactState: contact, record, runs} = session;
+    const {contactState: to, record, runs} = session;
     const {logger, metrics} = this.options;
-    const to = contact;
     const fields = {upstream: record.id, runs: runs.size, from, to, cause};
-    if (contact === 'live') logger.info('upstream-reached', fields);
+    if (to === 'live') logger.info('upstream-reached', fields);
     else logger.warn('upstream-not-reached', fields);
-    metrics.increment('upstream.contact_changes', 1, {to: contact});
-    if (contact === 'lost') this.orphanedRuns.removeSession(session);
-    if (contact === 'live') this.starter.resumeStarts(session);
+    metrics.increment('upstream.contact_changes', 1, {to});
+    if (to === 'lost') this.orphanedRuns.removeSession(session);
+    if (to === 'live') this.starter.resumeStarts(session);
   }
 
   async ended(
@@ -218,7 +220,7 @@
     for (const end of ends) {
       const {task, run, outcome} = end;
       const key = getTaskKey(task);
-      this.orphanedRuns.ended(key);
+      this.orphanedRuns.ended(session, end);
       const known = this.options.jobTable.task(key);
       const transient =
         known?.job.admitted.durable === false ||
@@ -280,13 +282,12 @@
     counted: readonly CountedRunEnd[],
   ): Promise<boolean> {
     const {id, startedAt} = session.record;
-    const upTo = Math.max(...ends.map(end => end.sequence));
     try {
       await this.options.propose({
         type: 'ends',
         at: Date.now(),
         life: {id, startedAt},
-        upTo,
+        upTo: Math.max(...ends.map(end => end.sequence)),
         ends: counted,
       });
     } catch {
--- a/packages/dispatch/src/owner/orphaned_runs.ts
+++ b/packages/dispatch/src/owner/orphaned_runs.ts
@@ -5,7 +5,7 @@
 
 import type {DispatchState} from '../jobs/dispatch_state.js';
 import {getTaskKey} from '../jobs/job_types.js';
-import type {ActiveRun} from '../upstreams/upstream_port.js';
+import type {ActiveRun, RunEnd} from '../upstreams/upstream_port.js';
 import type {DiscardedRuns} from './discarded_runs.js';
 import type {JobTable} from './job_table.js';
 import type {OpenJob, OpenTask, Run} from './job_table_types.js';
@@ -36,12 +36,20 @@
  * running for a while, as their callers may submit the jobs again.
  */
 export class OrphanedRuns {
-  private readonly orphans = new Map<string, Orphan>();
+  /** By the key of the task, of which several runs may be listed. */
+  private readonly orphans = new Map<string, Orphan[]>();
 
   constructor(private readonly options: OrphanedRunsOptions) {}
 
   get orphanCount(): number {
-    return this.orphans.size;
+    return [...this.orphans.values()].flat().length;
+  }
+
+  /** Whether a run of the job is listed whose end is not. */
+  hasRunsOf(job: string): boolean {
+    return [...this.orphans.values()].some(
+      ([orphan]) => orphan?.active.task.job === job,
+    );
   }
 
   /** Adopts, keeps or stops a run that its session does not track. */
@@ -53,36 +61,30 @@
       this.adoptRun(task, session, active);
       return;
     }
-    const known = this.orphans.get(key);
+    const listed = this.orphans.get(key) ?? [];
+    const known = listed.find(orphan => isRun(orphan, session, active.run));
     if (known) {
       // The stop may have been lost, as the run is still listed.
       if (known.stopping) void session.forbidRun(active);
       return;
     }
     const orphan = {session, active, stopping: false};
-    this.orphans.set(key, orphan);
+    this.orphans.set(key, [...listed, orphan]);
     const isKnown = task !== undefined || state.jobs.has(active.task.job);
     if (isKnown || isRecoveryComplete()) this.stop(orphan);
   }
 
-  /**
-   * Removes the orphaned run of a task, and requeues the task if it waited for
-   * the end of that run.
-   */
-  ended(key: string): void {
-    if (!this.orphans.delete(key)) return;
-    const {jobTable, discardedRuns} = this.options;
-    const task = jobTable.task(key);
-    if (task?.phase === 'held' && !discardedRuns.get(key))
-      jobTable.requeue(task);
+  /** Removes an orphaned run that has ended; see `remove`. */
+  ended(session: UpstreamSession, {task, run}: RunEnd): void {
+    this.remove(getTaskKey(task), orphan => isRun(orphan, session, run));
   }
 
   /**
    * Removes the orphaned runs of an upstream on which nothing runs any more.
    */
   removeSession(session: UpstreamSession): void {
-    for (const [key, orphan] of [...this.orphans]) {
-      if (orphan.session === session) this.ended(key);
+    for (const key of [...this.orphans.keys()]) {
+      this.remove(key, orphan => orphan.session === session);
     }
   }
 
@@ -93,25 +95,53 @@
   adoptOrphansOf(job: OpenJob): void {
     if (this.orphans.size === 0) return;
     for (const task of job.tasks.flat()) {
-      const orphan = this.orphans.get(task.key);
-      if (!orphan || task.phase !== 'ready') continue;
-      if (orphan.stopping) {
-        task.phase = 'held';
-        task.lastRunNumber = Math.max(task.lastRunNumber, orphan.active.run);
-        continue;
+      const listed = this.orphans.get(task.key);
+      if (!listed || task.phase !== 'ready') continue;
+      const [only] = listed;
+      if (only && listed.length === 1 && !only.stopping) {
+        this.orphans.delete(task.key);
+        this.adoptRun(task, only.session, only.active);
+      } else {
+        this.hold(task, listed);
       }
-      this.orphans.delete(task.key);
-      this.adoptRun(task, orphan.session, orphan.active);
     }
   }
 
   /** Stops the orphaned runs whose jobs were not submitted again. */
   stopOrphans(): void {
-    for (const orphan of this.orphans.values()) {
+    for (const orphan of [...this.orphans.values()].flat()) {
+      if (!orphan.stopping) this.stop(orphan);
+    }
+  }
+
+  /** Keeps a task from starting until its orphaned runs have ended. */
+  private hold(task: OpenTask, listed: readonly Orphan[]): void {
+    task.phase = 'held';
+    for (const orphan of listed) {
+      task.lastRunNumber = Math.max(task.lastRunNumber, orphan.active.run);
       if (!orphan.stopping) this.stop(orphan);
     }
   }
 
+  /**
+   * Removes orphaned runs of a task, and requeues the task if it waited for
+   * them and none is left.
+   */
+  private remove(key: string, matches: (orphan: Orphan) => boolean): void {
+    const listed = this.orphans.get(key);
+    const left = listed?.filter(orphan => !matches(orphan));
+    if (!listed || !left || left.length === listed.length) return;
+    if (left.length > 0) {
+      this.orphans.set(key, left);
+      return;
+    }
+    this.orphans.delete(key);
+    const {jobTable, discardedRuns} = this.options;
+    const task = jobTable.task(key);
+    if (task?.phase === 'held' && !discardedRuns.get(key))
+      jobTable.requeue(task);
+  }
+
   private stop(orphan: Orphan): void {
     const {session, active} = orphan;
     orphan.stopping = true;
@@ -154,3 +184,11 @@
     });
   }
 }
+
+function isRun(
+  {session, active}: Orphan,
+  ofSession: UpstreamSession,
+  run: number,
+): boolean {
+  return session === ofSession && active.run === run;
+}
--- a/packages/dispatch/src/owner/proposer.ts
+++ b/packages/dispatch/src/owner/proposer.ts
@@ -6,6 +6,9 @@
 import type {OwnerActivity} from './owner_activity.js';
 import {sleep} from './waiting.js';
 
+/** Proposes a command to the replicated log of the group. */
+export type Propose = (command: Command) => Promise<CommandResult>;
+
 /** Pause between attempts while the log takes no proposals. */
 const RETRY_PAUSE_MS = 50;
 
--- a/packages/dispatch/src/owner/session_registry.ts
+++ b/packages/dispatch/src/owner/session_registry.ts
@@ -10,7 +10,8 @@
   upstreamKey,
   type UpstreamRecord,
 } from '../upstreams/upstream_types.js';
-import type {Dispatcher, Propose} from './dispatcher.js';
+import type {Dispatcher} from './dispatcher.js';
+import type {Propose} from './proposer.js';
 import {UpstreamSession} from './upstream_session.js';
 
 /** Options of the session registry. */
--- a/packages/dispatch/src/owner/transient_jobs.ts
+++ b/packages/dispatch/src/owner/transient_jobs.ts
@@ -47,11 +47,12 @@
   }
 
   /**
-   * Whether an earlier submission of a job may have begun before it was
-   * dropped.
+   * Whether an earlier submission of a job may have begun: before it was
+   * dropped, or under an earlier leader.
    */
   mayHaveRun(id: string): boolean {
-    return this.droppedAfterStart.has(id);
+    const {dispatcher} = this.options;
+    return this.droppedAfterStart.has(id) || dispatcher.isListed(id);
   }
 
   /** Runs a job; resolves at the latest when its caller stops waiting. */
