Keep a process alive after a message that it can't handle

Cause: a frame that is not a list, a message without its fields, or an answer that a session could not handle raised an error that nobody caught; the process ends then, with all its open requests. Change: FrameChannel reports such frames and messages, and goes on with the next message; members log messages that fail, and refuse a hello that names nobody; an answer that can't be handled counts as a failed hold.

--- a/packages/dispatch/src/instance/member.ts
+++ b/packages/dispatch/src/instance/member.ts
@@ -151,7 +151,9 @@
         port: Number(port),
         onOpen: channel => this.sendView(channel),
         onMessage: (channel, message) =>
-          void this.handleMessage(channel, message),
+          void this.handleMessage(channel, message).catch((err: unknown) =>
+            logger.warn('member-message-failed', {err}),
+          ),
         onClose: channel => this.waitingCallers.lost(channel),
         onMalformed: err =>
           logger.warn('member-message-malformed', {peer: 'incoming', err}),
--- a/packages/dispatch/src/instance/member_registry.ts
+++ b/packages/dispatch/src/instance/member_registry.ts
@@ -1,5 +1,6 @@
 /** Registry of the members that have connected to this one. */
 import type {MemberId, ReplicatedLog} from '@mustardferry/coordination';
+import {PeerProtocolError} from '@mustardferry/links';
 
 import type {Hello, PeerMessage} from '../messages/peer_messages.js';
 import {
@@ -41,8 +42,13 @@
     );
   }
 
+  /** @throws PeerProtocolError when the message does not name a member. */
   addMember(hello: Hello): void {
-    this.byAddress.set(hello.address, hello);
+    const {address, dataCentre, incarnation} = hello;
+    if (![address, dataCentre, incarnation].every(isText)) {
+      throw new PeerProtocolError('a hello does not name its member');
+    }
+    this.byAddress.set(address, hello);
   }
 
   /** Sends a message to all members that are connected. */
@@ -86,3 +92,7 @@
 ): Hello {
   return {type: 'hello', role: 'member', address, dataCentre, incarnation};
 }
+
+function isText(value: unknown): boolean {
+  return typeof value === 'string';
+}
--- a/packages/dispatch/src/owner/run_orders.ts
+++ b/packages/dispatch/src/owner/run_orders.ts
@@ -31,6 +31,9 @@
 
 /** Sends orders and determines the outcome of unanswered ones. */
 export class RunOrders {
+  /** Runs given up when the leases of the silent upstream expired. */
+  private abandonedRuns: Pick<ActiveRun, 'task' | 'run'>[] = [];
+
   constructor(private readonly context: OrderContext) {}
 
   /** Sends the start order of a run; session events report the outcome. */
@@ -79,6 +82,17 @@
     await this.sendStop(active).catch(() => undefined);
   }
 
+  addAbandonedRun(run: Pick<ActiveRun, 'task' | 'run'>): void {
+    this.abandonedRuns.push(run);
+  }
+
+  /** Keeps delayed orders from starting runs that were given up. */
+  forbidAbandonedRuns(): void {
+    const {abandonedRuns} = this;
+    this.abandonedRuns = [];
+    for (const each of abandonedRuns) void this.forbidRun(each);
+  }
+
   private answered(run: Run, answer: StartAnswer): void {
     const {session, options, runs, leaseClock} = this.context;
     if (answer.type === 'other-life') {
--- a/packages/dispatch/src/owner/upstream_session.ts
+++ b/packages/dispatch/src/owner/upstream_session.ts
@@ -42,8 +42,6 @@
   private readonly starts = new PendingStarts();
   /** When the newest answered hold was sent. */
   private answeredHoldSentAt = Number.NEGATIVE_INFINITY;
-  /** Runs given up when the leases of the silent upstream expired. */
-  private abandonedRuns: Pick<ActiveRun, 'task' | 'run'>[] = [];
   private closed = false;
 
   constructor(private readonly options: SessionOptions) {
@@ -137,16 +135,23 @@
   private async runHoldLoop(): Promise<void> {
     while (!this.closed) {
       if (this.isIdle) await this.wakeup.wait();
-      if (this.closed) return;
-      await this.commits.waitUntilSettled(SESSION_TIMING.renewIntervalMs);
-      if (this.closed || !this.options.maySendOrders()) {
-        await sleep(SESSION_TIMING.retryPauseMs);
-        continue;
-      }
-      const isLive = this.state === 'live' && this.failedHolds === 0;
-      if (!(await this.hold(isLive ? SESSION_TIMING.holdWaitMs : 0))) {
-        await this.pauseAfterFailure();
-      }
+      // An answer that can't be handled counts like a missing one.
+      await this.runHoldTurn().catch((err: unknown) => {
+        this.handleHoldFailure(err);
+        return sleep(SESSION_TIMING.retryPauseMs);
+      });
+    }
+  }
+
+  private async runHoldTurn(): Promise<void> {
+    if (this.closed) return;
+    await this.commits.waitUntilSettled(SESSION_TIMING.renewIntervalMs);
+    if (this.closed || !this.options.maySendOrders()) {
+      return sleep(SESSION_TIMING.retryPauseMs);
+    }
+    const isLive = this.state === 'live' && this.failedHolds === 0;
+    if (!(await this.hold(isLive ? SESSION_TIMING.holdWaitMs : 0))) {
+      await this.pauseAfterFailure();
     }
   }
 
@@ -220,18 +225,11 @@
   private abandonRuns(): void {
     this.setContactState('lost', 'leases expired');
     for (const run of this.runs.all) {
-      this.abandonedRuns.push({task: run.task.id, run: run.number});
+      this.orders.addAbandonedRun({task: run.task.id, run: run.number});
       this.reportLostRun(run, 'lease expired on a silent upstream');
     }
   }
 
-  /** Keeps delayed orders from starting runs that were given up. */
-  private forbidAbandonedRuns(): void {
-    const {abandonedRuns} = this;
-    this.abandonedRuns = [];
-    for (const each of abandonedRuns) void this.forbidRun(each);
-  }
-
   private answered(answer: HoldAnswer, sentAt: number): void {
     const {events} = this.options;
     if (answer.type === 'superseded') return events.superseded(this);
@@ -247,7 +245,7 @@
     this.observeClock(clockMs);
     const wasFencing = this.state === 'fencing';
     if (this.state !== 'live') this.setContactState('live', 'answered');
-    if (this.abandonedRuns.length > 0) this.forbidAbandonedRuns();
+    this.orders.forbidAbandonedRuns();
     if (!this.runs.isOutdated(answer)) {
       this.processEnds(answer.ends, clockMs);
       this.compareActiveRuns(answer, sentAt);
--- a/packages/links/src/frame_channel.ts
+++ b/packages/links/src/frame_channel.ts
@@ -3,6 +3,7 @@
 
 import {WebSocket} from 'ws';
 
+import {PeerProtocolError} from './errors.js';
 import type {Watch} from './frame_options.js';
 import {PEER_ENCODER} from './peer_encoder.js';
 
@@ -13,7 +14,10 @@
   readonly maxUnsentBytes: number;
   readonly onMessage: (message: M) => void;
   readonly onClose: () => void;
-  /** Told of data that can't be decoded; the connection then ends. */
+  /**
+   * Told of data that can't be decoded, after which the connection ends, and of
+   * messages that `onMessage` failed to handle.
+   */
   readonly onMalformed: (err: unknown) => void;
 }
 
@@ -81,7 +85,7 @@
     this.heard();
     let batch: readonly M[];
     try {
-      batch = PEER_ENCODER.decode(data) as readonly M[];
+      batch = decodeBatch<M>(data);
     } catch (err) {
       this.options.onMalformed(err);
       this.end();
@@ -89,7 +93,16 @@
     }
     for (const message of batch) {
       if (this.closed) return;
+      this.handle(message);
+    }
+  }
+
+  /** One message must not end the process, nor keep back those after it. */
+  private handle(message: M): void {
+    try {
       this.options.onMessage(message);
+    } catch (err) {
+      this.options.onMalformed(err);
     }
   }
 
@@ -127,3 +140,9 @@
     this.options.onClose();
   }
 }
+
+function decodeBatch<M>(data: Buffer): readonly M[] {
+  const batch = PEER_ENCODER.decode(data);
+  if (Array.isArray(batch)) return batch as readonly M[];
+  throw new PeerProtocolError('a frame is not a list of messages');
+}
--- a/packages/links/tests/frame_link.test.ts
+++ b/packages/links/tests/frame_link.test.ts
@@ -9,6 +9,7 @@
 import {FrameLink} from '../src/frame_link.js';
 import {FRAME_PATH} from '../src/frame_options.js';
 import {FrameServer} from '../src/frame_server.js';
+import {PEER_ENCODER} from '../src/peer_encoder.js';
 
 /** Relays one port to another, and can stop to without closing anything. */
 class Relay {
@@ -133,6 +134,36 @@
     await until(() => received.length === 1);
   });
 
+  // Guards against one message that takes a process down.
+  it('report a frame that is not a list of messages, and end', async () => {
+    const socket = new WebSocket(`ws://127.0.0.1:${server.port}${FRAME_PATH}`);
+    cleanUp.push(() => socket.terminate());
+    await once(socket, 'open');
+    socket.send(PEER_ENCODER.encode(5));
+    await once(socket, 'close');
+    expect(malformed).to.have.length(1);
+  });
+
+  it('handle the messages after one whose handler fails', async () => {
+    const seen = open();
+    const link = new FrameLink<unknown>({
+      address: `127.0.0.1:${server.port}`,
+      onMessage: message => {
+        if (message === 'bad') throw new Error('not handled');
+        seen.messages.push(message);
+      },
+      onUp: () => undefined,
+      onDown: () => undefined,
+      onMalformed: err => malformed.push(err),
+    });
+    cleanUp.push(() => link.close());
+    await until(() => link.isUp && channels.length === 2);
+    for (const message of ['bad', 'good'])
+      for (const channel of channels) channel.send(message);
+    await until(() => seen.messages.filter(m => m === 'good').length === 2);
+    expect(malformed).to.have.length(1);
+  });
+
   it('replace a connection that went silent without a reset', async () => {
     const relay = await Relay.open(server.port);
     cleanUp.push(() => relay.close());
