Keep working when a metric, a report of an error or an append fails

Cause: a sample with other tags than the first of its name, and an onError that throws, ended what they reported on: the first threw into the caller, the second left a task draining for ever and its error unhandled. An audit archive whose append failed, for example on a full disk, counted the entries as archived. Change: samples that the library refuses go to onError; a failing onError becomes a warning of the process; the archive takes its last index back.

--- a/packages/coordination/src/storage_adapter/journal_audit_archive.ts
+++ b/packages/coordination/src/storage_adapter/journal_audit_archive.ts
@@ -75,8 +75,15 @@
       hash = entry.hash;
       return record;
     });
-    this.lastEntryIndex = added.at(-1)?.index ?? this.lastEntryIndex;
-    await this.wrapErrors(this.journal.append(records));
+    const lastIndexBefore = this.lastEntryIndex;
+    this.lastEntryIndex = added.at(-1)?.index ?? lastIndexBefore;
+    try {
+      await this.wrapErrors(this.journal.append(records));
+    } catch (err) {
+      // The entries are not in the archive, so they are to be appended again.
+      this.lastEntryIndex = Math.min(this.lastEntryIndex, lastIndexBefore);
+      throw err;
+    }
   }
 
   override async page(after: number, limit: number): Promise<AuditPage> {
--- a/packages/coordination/tests/storage_adapter/journal_audit_archive.test.ts
+++ b/packages/coordination/tests/storage_adapter/journal_audit_archive.test.ts
@@ -53,6 +53,23 @@
     expect(err).to.have.property('code', 'audit-gap');
   });
 
+  // Guards against a gap in the archive after a full disk.
+  it('still lacks the entries whose append failed', async () => {
+    const files = new SimulatedFileSystem();
+    const archive = await JournalAuditArchive.open(files, '/data/audit');
+    const state = new ControlState();
+    applyRefusedChanges(state, 1, 10);
+    await archiveAudit(state, archive);
+    applyRefusedChanges(state, 11, 20);
+    files.fail('sync', 'ENOSPC');
+    const failed = await archiveAudit(state, archive).then(
+      () => false,
+      () => true,
+    );
+    expect(failed).to.equal(true);
+    expect(archive.lastIndex).to.equal(10);
+  });
+
   it('starts with the tail on an instance that joined late', async () => {
     const files = new SimulatedFileSystem();
     const state = new ControlState();
--- a/packages/runtime/src/message_task.ts
+++ b/packages/runtime/src/message_task.ts
@@ -32,7 +32,10 @@
   /** Handles one message; may be asynchronous. */
   protected abstract handle(message: M): Promise<void> | void;
 
-  /** Called with an error from `handle`; later messages are still handled. */
+  /**
+   * Called with an error from `handle`; later messages are still handled. An
+   * error that it throws becomes a warning of the process.
+   */
   protected abstract onError(err: unknown, message: M): void;
 
   private async drain(): Promise<void> {
@@ -45,9 +48,18 @@
         // Awaiting a synchronous handler would add a microtask turn.
         if (pending !== undefined) await pending;
       } catch (err) {
-        this.onError(err, message);
+        this.reportError(err, message);
       }
     }
     this.draining = false;
   }
+
+  private reportError(err: unknown, message: M): void {
+    try {
+      this.onError(err, message);
+    } catch (cause) {
+      const text = cause instanceof Error ? cause.message : String(cause);
+      process.emitWarning(`${this.name}: ${text}`, 'MessageTaskWarning');
+    }
+  }
 }
--- a/packages/runtime/src/prometheus_metrics.ts
+++ b/packages/runtime/src/prometheus_metrics.ts
@@ -11,8 +11,9 @@
   readonly port: number;
   readonly path: string;
   /**
-   * Called when the server or the rendering of the metrics fails. When the port
-   * can't be opened, samples are still collected, but not served.
+   * Called when the server or the rendering of the metrics fails, or a sample
+   * is refused. When the port can't be opened, samples are still collected, but
+   * not served.
    */
   readonly onError: (err: Error) => void;
 }
@@ -58,39 +59,59 @@
   }
 
   override increment(name: string, value = 1, tags: MetricTags = {}): void {
-    let counter = this.counters.get(name);
-    if (!counter) {
-      counter = new Counter(this.metricOptions(`${name}_total`, tags));
-      this.counters.set(name, counter);
-    }
-    counter.inc(tags, value);
+    this.record(() => {
+      let counter = this.counters.get(name);
+      if (!counter) {
+        counter = new Counter(this.metricOptions(`${name}_total`, tags));
+        this.counters.set(name, counter);
+      }
+      counter.inc(tags, value);
+    });
   }
 
   override gauge(name: string, value: number, tags: MetricTags = {}): void {
-    let gauge = this.gauges.get(name);
-    if (!gauge) {
-      gauge = new Gauge(this.metricOptions(name, tags));
-      this.gauges.set(name, gauge);
-    }
-    gauge.set(tags, value);
+    this.record(() => {
+      let gauge = this.gauges.get(name);
+      if (!gauge) {
+        gauge = new Gauge(this.metricOptions(name, tags));
+        this.gauges.set(name, gauge);
+      }
+      gauge.set(tags, value);
+    });
   }
 
   override timing(name: string, ms: number, tags: MetricTags = {}): void {
-    let histogram = this.histograms.get(name);
-    if (!histogram) {
-      histogram = new Histogram({
-        ...this.metricOptions(`${name}_ms`, tags),
-        buckets: BUCKETS_MS,
-      });
-      this.histograms.set(name, histogram);
-    }
-    histogram.observe(tags, ms);
+    this.record(() => {
+      let histogram = this.histograms.get(name);
+      if (!histogram) {
+        histogram = new Histogram({
+          ...this.metricOptions(`${name}_ms`, tags),
+          buckets: BUCKETS_MS,
+        });
+        this.histograms.set(name, histogram);
+      }
+      histogram.observe(tags, ms);
+    });
   }
 
   override close(): Promise<void> {
     return new Promise(resolve => this.server.close(() => resolve()));
   }
 
+  /**
+   * A sample that the library refuses, for example with other tags than the
+   * first one of its name, is reported and dropped: it must not interrupt the
+   * work that it counts.
+   */
+  private record(sample: () => void): void {
+    try {
+      sample();
+    } catch (err) {
+      const cause = err instanceof Error ? err : new Error(String(err));
+      this.options.onError(cause);
+    }
+  }
+
   private metricOptions(name: string, tags: MetricTags) {
     return {
       name: `mustardferry_${name.replaceAll('.', '_')}`,
