--- a/packages/dispatch/tests/instance/carrier_selector.test.ts
+++ b/packages/dispatch/tests/instance/carrier_selector.test.ts
@@ -52,3 +52,23 @@
     expect(selectAll()).to.include({m3: POOL_SIZE / 2});
   });
 });
+
+describe('CarrierSelector with 60 upstreams', () => {
+  // Guards against a leader that spends its processor on HTTP exchanges: with
+  // 60 upstreams and 0.6 of a core it had no time left for its decisions.
+  it('leaves no order to the leader itself', () => {
+    const selector = new CarrierSelector(
+      () => CARRIERS,
+      () => 60,
+    );
+    const carriers = Array.from({length: 60}, (_, i) =>
+      selector.selectCarrier({
+        id: `u${i}`,
+        address: `10.0.0.${i}:1`,
+        startedAt: 1,
+        dataCentre: 'a',
+      }),
+    );
+    expect(carriers).to.not.include(null);
+  });
+});
