--- a/eslint.config.js
+++ b/eslint.config.js
@@ -87,6 +87,14 @@
     files: ['**/tests/**/*.ts'],
     rules: {'@typescript-eslint/no-unused-expressions': 'off'},
   },
+  {
+    files: ['**/*.cjs'],
+    languageOptions: {
+      sourceType: 'commonjs',
+      globals: {require: 'readonly', __filename: 'readonly'},
+    },
+    rules: {'@typescript-eslint/no-require-imports': 'off'},
+  },
   {files: ['**/*.config.js'], rules: {'unicorn/filename-case': 'off'}},
   ...layerRules,
 );
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -52,3 +52,4 @@
   upstreamKey,
   type UpstreamRecord,
 } from './upstreams/upstream_types.js';
+export {OwnerWarmUp, type OwnerWarmUpOptions} from './warm_up/owner_warm_up.js';
