Ignore delayed announcements of upstreams that are leaving or have left

Cause: the sequence numbers of announcements were kept in the sessions of one leader, and nothing was kept of an upstream that had left. An announcement that a cut link delayed brought an upstream back: one that was leaving after a change of the leader, one that had left at any time. Tasks started there were lost. Change: the replicated record has the sequence number of its announcement, and the state keeps the last 4,096 incarnations that left at their own request; the leader ignores what is not newer.

--- a/packages/dispatch/src/jobs/commands.ts
+++ b/packages/dispatch/src/jobs/commands.ts
@@ -17,7 +17,12 @@
 export type Command =
   | {readonly type: 'configure'; readonly configuration: Configuration}
   | {readonly type: 'upstream'; readonly upstream: UpstreamRecord}
-  | {readonly type: 'forget-upstream'; readonly life: UpstreamIncarnation}
+  | {
+      readonly type: 'forget-upstream';
+      readonly life: UpstreamIncarnation;
+      /** Whether it left at its own request, and not because it is silent. */
+      readonly left?: boolean;
+    }
   | {readonly type: 'submit'; readonly job: AdmittedJob}
   | {readonly type: 'cancel'; readonly job: string; readonly at: number}
   | {
--- a/packages/dispatch/src/jobs/dispatch_state.ts
+++ b/packages/dispatch/src/jobs/dispatch_state.ts
@@ -7,7 +7,10 @@
 import {assertNever} from '@mustardferry/model';
 import {pack, unpack} from 'msgpackr';
 
-import {type UpstreamRecord} from '../upstreams/upstream_types.js';
+import type {
+  UpstreamIncarnation,
+  UpstreamRecord,
+} from '../upstreams/upstream_types.js';
 import type {
   Command,
   CommandResult,
@@ -24,12 +27,17 @@
  */
 const MAX_EARLY_ENDS = 4_096;
 
+/** Maximum number of upstreams known to have left. */
+const MAX_DEPARTED = 4_096;
+
 interface Snapshot {
   readonly format: 1;
   readonly configuration: Configuration | null;
   readonly upstreams: readonly UpstreamEntry[];
   readonly jobs: readonly JobRecord[];
   readonly earlyEnds: readonly CountedRunEnd[];
+  /** Absent in snapshots of earlier programs. */
+  readonly departed?: readonly UpstreamIncarnation[];
 }
 
 const COMMAND_DONE: CommandResult = {type: 'done'};
@@ -40,6 +48,8 @@
   private readonly upstreamsById = new Map<string, UpstreamEntry>();
   private readonly jobsById = new Map<string, JobRecord>();
   private earlyEnds: CountedRunEnd[] = [];
+  /** Start times of the incarnations that have left, by id. */
+  private readonly departed = new Map<string, number>();
 
   get queues(): QueueTable | null {
     return this.queueTable;
@@ -53,6 +63,11 @@
     return this.jobsById;
   }
 
+  /** Whether an incarnation has left; a later one of its id has not. */
+  hasLeft({id, startedAt}: UpstreamIncarnation): boolean {
+    return startedAt <= (this.departed.get(id) ?? -Infinity);
+  }
+
   /** Run ends of a job that were committed before its admission. */
   getEarlyEnds(job: string): readonly CountedRunEnd[] {
     return this.earlyEnds.filter(({task}) => task.job === job);
@@ -64,12 +79,8 @@
         return this.configure(command.configuration);
       case 'upstream':
         return this.setUpstream(command.upstream);
-      case 'forget-upstream': {
-        const {id, startedAt} = command.life;
-        const known = this.upstreamsById.get(id)?.record.startedAt;
-        if (known === startedAt) this.upstreamsById.delete(id);
-        return COMMAND_DONE;
-      }
+      case 'forget-upstream':
+        return this.forgetUpstream(command);
       case 'submit':
         return this.submit(command.job);
       case 'cancel':
@@ -90,6 +101,7 @@
       upstreams: [...this.upstreamsById.values()],
       jobs: [...this.jobsById.values()],
       earlyEnds: this.earlyEnds,
+      departed: [...this.departed].map(([id, startedAt]) => ({id, startedAt})),
     };
     return pack(content);
   }
@@ -105,6 +117,10 @@
     this.jobsById.clear();
     for (const record of content.jobs) this.jobsById.set(record.job.id, record);
     this.earlyEnds = [...content.earlyEnds];
+    this.departed.clear();
+    for (const {id, startedAt} of content.departed ?? []) {
+      this.departed.set(id, startedAt);
+    }
   }
 
   private configure(configuration: Configuration): CommandResult {
@@ -124,6 +140,22 @@
     return COMMAND_DONE;
   }
 
+  private forgetUpstream({
+    life: {id, startedAt},
+    left = false,
+  }: Extract<Command, {type: 'forget-upstream'}>): CommandResult {
+    const known = this.upstreamsById.get(id)?.record.startedAt;
+    if (known === startedAt) this.upstreamsById.delete(id);
+    if (!left) return COMMAND_DONE;
+    this.departed.delete(id);
+    this.departed.set(id, startedAt);
+    const [oldest] = this.departed.keys();
+    if (oldest !== undefined && this.departed.size > MAX_DEPARTED) {
+      this.departed.delete(oldest);
+    }
+    return COMMAND_DONE;
+  }
+
   private submit(job: AdmittedJob): CommandResult {
     const known = this.jobsById.get(job.id);
     if (known) return this.toJobResult(known);
--- a/packages/dispatch/src/owner/session_registry.ts
+++ b/packages/dispatch/src/owner/session_registry.ts
@@ -45,7 +45,8 @@
       record,
       acknowledged,
     } of this.options.state.upstreams.values()) {
-      this.open(record, acknowledged, undefined);
+      const session = this.open(record, acknowledged, undefined);
+      session.sequence = record.sequence ?? -1;
     }
   }
 
@@ -54,12 +55,13 @@
     const {state, propose, logger} = this.options;
     const record = toUpstreamRecord(announcement);
     const known = state.upstreams.get(record.id)?.record;
-    if (known && known.startedAt > record.startedAt) {
+    const reason = this.findReasonToIgnore(record);
+    if (reason !== null) {
       logger.info('announcement-ignored', {
         upstream: record.id,
         startedAt: record.startedAt,
-        known: known.startedAt,
-        reason: 'older incarnation',
+        known: known?.startedAt,
+        reason,
       });
       return;
     }
@@ -78,6 +80,14 @@
     this.applyAnnouncement(announcement);
   }
 
+  /** A delayed announcement must not bring back what was replaced or left. */
+  private findReasonToIgnore(record: UpstreamRecord): string | null {
+    const {state} = this.options;
+    const known = state.upstreams.get(record.id)?.record;
+    if (known && known.startedAt > record.startedAt) return 'older incarnation';
+    return state.hasLeft(record) ? 'has left' : null;
+  }
+
   /** Deregisters an upstream at its own request. */
   async leave(id: string): Promise<void> {
     const known = this.options.state.upstreams.get(id)?.record;
@@ -85,7 +95,7 @@
     const session = this.sessions.get(id);
     if (session) session.deregistered = true;
     this.options.logger.info('upstream-left', {upstream: id});
-    await this.forgetUpstream(known);
+    await this.forgetUpstream(known, true);
   }
 
   /**
@@ -206,10 +216,14 @@
     });
   }
 
-  private async forgetUpstream({id, startedAt}: UpstreamRecord): Promise<void> {
+  private async forgetUpstream(
+    {id, startedAt}: UpstreamRecord,
+    left = false,
+  ): Promise<void> {
     await this.options.propose({
       type: 'forget-upstream',
       life: {id, startedAt},
+      ...(left ? {left} : {}),
     });
   }
 }
--- a/packages/dispatch/src/upstreams/upstream_types.ts
+++ b/packages/dispatch/src/upstreams/upstream_types.ts
@@ -25,7 +25,10 @@
 }
 
 /** Part of an announcement that is replicated. */
-export type UpstreamRecord = Omit<Announcement, 'clockMs' | 'sequence'>;
+export type UpstreamRecord = Omit<Announcement, 'clockMs' | 'sequence'> & {
+  /** Sequence number of the announcement; earlier programs didn't keep it. */
+  readonly sequence?: number;
+};
 
 /** Returns the key of an incarnation. */
 export function upstreamKey({id, startedAt}: UpstreamIncarnation): string {
@@ -47,7 +50,7 @@
   );
 }
 
-/** Omits the fields that differ in every announcement. */
+/** Omits the clock, which only a session needs. */
 export function toUpstreamRecord(announcement: Announcement): UpstreamRecord {
   const {
     id,
@@ -60,6 +63,7 @@
     memoryMb,
     accelerators,
     labels,
+    sequence,
   } = announcement;
   return {
     id,
@@ -72,5 +76,6 @@
     memoryMb,
     accelerators,
     labels,
+    sequence,
   };
 }
--- /dev/null
+++ b/packages/dispatch/tests/owner/departed_upstreams.test.ts
@@ -0,0 +1,86 @@
+import {expect} from 'chai';
+
+import {DispatchState} from '../../src/jobs/dispatch_state.js';
+import {OwnerHarness, step} from '../owner_harness.js';
+
+/**
+ * Replays announcements that a cut link has delayed and that arrive after the
+ * upstream has told that it leaves, or has left.
+ */
+describe('Owner after an upstream has left', () => {
+  let harness: OwnerHarness;
+
+  beforeEach(async () => {
+    harness = new OwnerHarness(2);
+    await harness.setUp();
+  });
+
+  afterEach(() => harness.close());
+
+  /** Delivers the first announcement of the upstream again. */
+  async function deliverDelayed(): Promise<void> {
+    const announcement = harness.upstream(0).announcement(1);
+    await harness.waitFor(
+      harness.call({type: 'announce', upstream: announcement}),
+    );
+  }
+
+  /** Returns whether any of the next tasks starts on the upstream. */
+  async function isUsed(): Promise<boolean> {
+    const before = harness.spans.length;
+    const replies = Array.from({length: 4}, (_, i) =>
+      harness.submit(`job${before}-${i}`, [step(1)]),
+    );
+    await harness.waitFor(Promise.all(replies));
+    return harness.spans
+      .slice(before)
+      .some(({upstream}) => upstream === harness.upstream(0).id);
+  }
+
+  async function changeOwner(): Promise<void> {
+    harness.kill();
+    await harness.startOwner();
+    await harness.advanceClock(1_000);
+  }
+
+  // Guards against a server that is in use again after a restart.
+  it('does not use one that is leaving, after a change of the owner', async () => {
+    await harness.announce(harness.upstream(0), true);
+    await changeOwner();
+    await deliverDelayed();
+    expect(await isUsed()).to.equal(false);
+  });
+
+  for (const isRestarted of [false, true]) {
+    it(`does not use one that has left (change of the owner: ${isRestarted})`, async () => {
+      await harness.announce(harness.upstream(0), true);
+      await harness.waitFor(harness.call({type: 'leave', id: 'u0'}));
+      await harness.advanceClock(2_000);
+      if (isRestarted) await changeOwner();
+      await deliverDelayed();
+      await harness.advanceClock(100);
+      expect(await isUsed()).to.equal(false);
+    });
+  }
+
+  it('uses the next incarnation of one that has left', async () => {
+    await harness.waitFor(harness.call({type: 'leave', id: 'u0'}));
+    await harness.advanceClock(2_000);
+    harness.upstream(0).restart();
+    await harness.announce(harness.upstream(0));
+    await harness.advanceClock(100);
+    expect(await isUsed()).to.equal(true);
+  });
+});
+
+describe('DispatchState with upstreams that have left', () => {
+  it('keeps them in its snapshot', () => {
+    const state = new DispatchState();
+    const life = {id: 'u0', startedAt: 5};
+    state.apply({type: 'forget-upstream', life, left: true});
+    const restored = new DispatchState();
+    restored.restore(state.snapshot());
+    expect(restored.hasLeft(life)).to.equal(true);
+    expect(restored.hasLeft({id: 'u0', startedAt: 6})).to.equal(false);
+  });
+});
