Let work go on at upstreams that only answer slowly

Cause: an upstream whose answers took 100 ms and more failed every hold, as each had the same timeout; after two its leases were not extended, and its work lapsed and was started again elsewhere. Late readings of its clock shortened the leases besides. Change: the timeout of a hold doubles with each failure, from 80 to 320 ms; a reading of a clock that lags further than the slowest clock is not used. A lost upstream's work restarts no later, as leases end 700 ms after the last hold that extends them.

--- a/packages/dispatch/src/owner/lease_clock.ts
+++ b/packages/dispatch/src/owner/lease_clock.ts
@@ -23,9 +23,14 @@
     this.lastReading = {clockMs, at};
   }
 
-  /** Records a reading, unless it lags half a lease behind the estimate. */
+  /**
+   * Records a reading, unless it lags further behind than the slowest clock
+   * would: it was delayed, and leases would be granted shorter by that delay.
+   */
   observeReading(clockMs: number, at: number): void {
-    if (clockMs >= this.estimateReading(at) - this.leaseMs / 2) {
+    const {lastReading} = this;
+    const leastMs = (at - lastReading.at) * SLOWEST_CLOCK_RATE;
+    if (clockMs >= lastReading.clockMs + leastMs - CLOCK_ROUNDING_MS) {
       this.lastReading = {clockMs, at};
     }
   }
--- a/packages/dispatch/src/owner/session_timing.ts
+++ b/packages/dispatch/src/owner/session_timing.ts
@@ -11,8 +11,13 @@
   startMs: 80,
   /** Least timeout of a start, while answers come soon: 15 round trips. */
   minStartMs: 30,
-  /** Timeout of a hold, in addition to its wait for a run end. */
+  /**
+   * Timeout of a hold, in addition to its wait for a run end. It doubles with
+   * each hold in a row that fails, up to the maximum: the upstream may only be
+   * slow, and its work must not be given up for that.
+   */
   holdMs: 80,
+  maxHoldMs: 320,
   /**
    * Longest wait for a run end in a hold: as long as an upstream of a busy pool
    * takes from one end to the next.
@@ -28,3 +33,9 @@
 
 /** Consecutive failed holds after which leases are no longer extended. */
 export const MAX_FAILED_HOLDS = 2;
+
+/** Timeout in ms of a hold after others in a row that failed. */
+export function getHoldTimeoutMs(failedHolds: number): number {
+  const {holdMs, maxHoldMs} = SESSION_TIMING;
+  return Math.min(maxHoldMs, holdMs * 2 ** failedHolds);
+}
--- a/packages/dispatch/src/owner/upstream_session.ts
+++ b/packages/dispatch/src/owner/upstream_session.ts
@@ -12,7 +12,11 @@
 import {PendingStarts} from './pending_starts.js';
 import {RunOrders} from './run_orders.js';
 import {RunTable} from './run_table.js';
-import {MAX_FAILED_HOLDS, SESSION_TIMING} from './session_timing.js';
+import {
+  getHoldTimeoutMs,
+  MAX_FAILED_HOLDS,
+  SESSION_TIMING,
+} from './session_timing.js';
 import type {Contact, SessionOptions} from './session_types.js';
 import {sleep, Wakeup} from './waiting.js';
 
@@ -178,7 +182,7 @@
     try {
       answer = await this.options.port.hold(this.record, {
         token: this.options.token,
-        timeoutMs: waitMs + SESSION_TIMING.holdMs,
+        timeoutMs: waitMs + getHoldTimeoutMs(this.failedHolds),
         acknowledged,
         waitMs,
         ...this.createLeaseExtension(sentAt),
@@ -213,8 +217,7 @@
   private async pauseAfterFailure(): Promise<void> {
     if (this.state === 'lost') {
       const {lostRetryPauseMs} = SESSION_TIMING;
-      await Promise.race([sleep(lostRetryPauseMs), this.wakeup.wait()]);
-      return;
+      return Promise.race([sleep(lostRetryPauseMs), this.wakeup.wait()]);
     }
     if (this.failedHolds < MAX_FAILED_HOLDS) return;
     const left = (this.leaseClock?.allExpiredAt ?? 0) - performance.now();
@@ -264,9 +267,8 @@
     const ends = this.endsCursor.takeNewEnds(all);
     this.runs.applyEnds(ends, clockMs);
     if (ends.length === 0) return;
-    const {events} = this.options;
     this.commits.add(this.endsCursor.seenPosition, earlier =>
-      events.ended(this, ends, earlier),
+      this.options.events.ended(this, ends, earlier),
     );
   }
 
--- a/packages/dispatch/tests/owner/lease_clock.test.ts
+++ b/packages/dispatch/tests/owner/lease_clock.test.ts
@@ -31,6 +31,13 @@
     expect(clock.grantLease(2_100)).to.equal(51_800);
   });
 
+  // Guards against short leases while an upstream answers slowly.
+  it('grants whole leases although readings arrive late', () => {
+    const clock = new LeaseClock(50_000, 1_000, LEASE_MS);
+    clock.observeReading(50_850, 2_100);
+    expect(clock.grantLease(2_100)).to.equal(51_800);
+  });
+
   it('has no expiry to wait for without a lease', () => {
     const clock = new LeaseClock(50_000, 1_000, LEASE_MS);
     expect(clock.allExpiredAt).to.equal(1_000);
