Share the forwarding of orders between the ports that add to it

Cause: three ports forwarded the same four orders, and a constant had the name of a bound of the users' platform. Change: ForwardingPort; slowHoldMs. No decision changes.

--- a/packages/dispatch/src/owner/measured_port.ts
+++ b/packages/dispatch/src/owner/measured_port.ts
@@ -1,4 +1,5 @@
 /** Measures how long an owner's orders take. */
+import {ForwardingPort} from '../upstreams/forwarding_port.js';
 import {
   type HoldAnswer,
   type HoldOrder,
@@ -7,18 +8,18 @@
   type StartOrder,
   type StopAnswer,
   type StopOrder,
-  UpstreamPort,
+  type UpstreamPort,
   type UpstreamTarget,
 } from '../upstreams/upstream_port.js';
 import type {MeasuredStep, OwnerActivity} from './owner_activity.js';
 
 /** Forwards orders to another port and records how long their answers took. */
-export class MeasuredPort extends UpstreamPort {
+export class MeasuredPort extends ForwardingPort {
   constructor(
-    private readonly port: UpstreamPort,
+    port: UpstreamPort,
     private readonly activity: OwnerActivity,
   ) {
-    super();
+    super(port);
   }
 
   override start(to: UpstreamTarget, order: StartOrder): Promise<StartAnswer> {
@@ -33,10 +34,6 @@
     return this.measureOrder('hold', () => this.port.hold(to, order));
   }
 
-  override releaseUpstream(to: UpstreamTarget): void {
-    this.port.releaseUpstream(to);
-  }
-
   private async measureOrder<A>(
     step: MeasuredStep,
     order: () => Promise<A>,
--- a/packages/dispatch/src/owner/session_timing.ts
+++ b/packages/dispatch/src/owner/session_timing.ts
@@ -17,7 +17,7 @@
    * slow, and its work must not be given up for that.
    */
   holdMs: 80,
-  maxHoldMs: 320,
+  slowHoldMs: 320,
   /**
    * Longest wait for a run end in a hold: as long as an upstream of a busy pool
    * takes from one end to the next.
@@ -36,6 +36,6 @@
 
 /** Timeout in ms of a hold after others in a row that failed. */
 export function getHoldTimeoutMs(failedHolds: number): number {
-  const {holdMs, maxHoldMs} = SESSION_TIMING;
-  return Math.min(maxHoldMs, holdMs * 2 ** failedHolds);
+  const {holdMs, slowHoldMs} = SESSION_TIMING;
+  return Math.min(slowHoldMs, holdMs * 2 ** failedHolds);
 }
--- a/packages/dispatch/tests/owner/slow_upstreams.test.ts
+++ b/packages/dispatch/tests/owner/slow_upstreams.test.ts
@@ -1,43 +1,22 @@
 import {expect} from 'chai';
 
+import {ForwardingPort} from '../../src/upstreams/forwarding_port.js';
 import {
   type HoldAnswer,
   type HoldOrder,
   OrderUnansweredError,
-  type StartAnswer,
-  type StartOrder,
-  type StopAnswer,
-  type StopOrder,
-  UpstreamPort,
   type UpstreamTarget,
 } from '../../src/upstreams/upstream_port.js';
-import type {FakePort} from '../fake_upstreams.js';
 import {OwnerHarness, step} from '../owner_harness.js';
 
 const RUN_MS = 3_000;
 
-/** Carries out all orders at once; their answers take a while. */
-class SlowAnswerPort extends UpstreamPort {
+/** Carries out holds at once; their answers take a while. */
+class SlowAnswerPort extends ForwardingPort {
   answerMs = 0;
 
-  constructor(private readonly port: FakePort) {
-    super();
-  }
-
-  override start(to: UpstreamTarget, order: StartOrder): Promise<StartAnswer> {
-    return this.answerLate(order.timeoutMs, this.port.start(to, order));
-  }
-
-  override stop(to: UpstreamTarget, order: StopOrder): Promise<StopAnswer> {
-    return this.answerLate(order.timeoutMs, this.port.stop(to, order));
-  }
-
   override hold(to: UpstreamTarget, order: HoldOrder): Promise<HoldAnswer> {
-    return this.answerLate(order.timeoutMs, this.port.hold(to, order));
-  }
-
-  override releaseUpstream(): void {
-    // The port keeps no state per upstream.
+    return this.answerLate(order.timeoutMs, super.hold(to, order));
   }
 
   private async answerLate<A>(
