--- a/tests/test_verdict.test.ts
+++ b/tests/test_verdict.test.ts
@@ -12,6 +12,11 @@
   seen: 'expected 0 to equal 1',
   issue: 'open: entries are lost',
 };
+const SOAK = {
+  ...LISTED,
+  test: 'soak seed 11',
+  command: 'npm run soak -- --seed 11 --seconds 15',
+};
 const BENCH = {...LISTED, test: 'kill test', command: 'npm run bench -- kills'};
 
 function reportOf(passes: string[], failures: string[], pending: string[]) {
@@ -73,6 +78,14 @@
       expected: [1, 0],
       says: 'not run here',
     },
+    {
+      title: 'prints a listed soak without counting it',
+      report: reportOf(['a'], [], []),
+      known: [SOAK],
+      exitCode: 0,
+      expected: [1, 0],
+      says: 'not run here',
+    },
     {
       title: 'fails when a test was skipped',
       report: reportOf(['a'], [], ['b']),
