Name the timers of carriers one by one

Cause: the pages of events and metrics did not list what the sources emit: four timers of carriers, and a field of control-leadership; two tests failed.

--- a/packages/dispatch/src/owner/measured_port.ts
+++ b/packages/dispatch/src/owner/measured_port.ts
@@ -11,7 +11,7 @@
   type UpstreamPort,
   type UpstreamTarget,
 } from '../upstreams/upstream_port.js';
-import type {MeasuredStep, OwnerActivity} from './owner_activity.js';
+import type {MeasuredOrder, OwnerActivity} from './owner_activity.js';
 
 /** Forwards orders to another port and records how long their answers took. */
 export class MeasuredPort extends ForwardingPort {
@@ -35,7 +35,7 @@
   }
 
   private async measureOrder<A>(
-    step: MeasuredStep,
+    kind: MeasuredOrder,
     order: () => Promise<A>,
   ): Promise<A> {
     const sentAt = performance.now();
@@ -46,7 +46,7 @@
       this.activity.count(wasSent ? 'unanswered' : 'notSent');
       throw err;
     } finally {
-      this.activity.recordDuration(step, performance.now() - sentAt);
+      this.activity.recordOrder(kind, performance.now() - sentAt);
     }
   }
 }
--- a/packages/dispatch/src/owner/owner_activity.ts
+++ b/packages/dispatch/src/owner/owner_activity.ts
@@ -1,16 +1,18 @@
 /** Counts and durations of an owner's work, for logs and metrics. */
 import type {Metrics} from '@mustardferry/runtime';
 
-/** Durations that are summarised, in milliseconds. */
-export type MeasuredStep =
+/** Orders to upstreams: from the order to its answer, or to its timeout. */
+export type MeasuredOrder = 'start' | 'stop' | 'hold';
+
+/** Steps that only an owner takes. */
+export type OwnerStep =
   /** One pass over the queued tasks of a pool. */
   | 'pass'
   /** From the proposal of a command to its commit. */
-  | 'commit'
-  /** From an order to its answer, or to its timeout. */
-  | 'start'
-  | 'stop'
-  | 'hold';
+  | 'commit';
+
+/** Durations that are summarised, in milliseconds. */
+export type MeasuredStep = MeasuredOrder | OwnerStep;
 
 /** Summary of the durations of one step. */
 export interface StepSummary {
@@ -68,17 +70,16 @@
     private readonly metricPrefix: 'owner' | 'carrier' = 'owner',
   ) {}
 
-  /** Adds a duration in milliseconds, also to the metrics. */
-  recordDuration(step: MeasuredStep, ms: number): void {
-    this.metrics.timing(`${this.metricPrefix}.${step}`, ms);
-    let sum = this.durations.get(step);
-    if (!sum) {
-      sum = {count: 0, totalMs: 0, longestMs: 0};
-      this.durations.set(step, sum);
-    }
-    sum.count++;
-    sum.totalMs += ms;
-    sum.longestMs = Math.max(sum.longestMs, ms);
+  /** Adds the duration of a step in milliseconds, also to the metrics. */
+  recordDuration(step: OwnerStep, ms: number): void {
+    this.metrics.timing(`owner.${step}`, ms);
+    this.add(step, ms);
+  }
+
+  /** Adds the duration of an order in milliseconds, also to the metrics. */
+  recordOrder(order: MeasuredOrder, ms: number): void {
+    this.metrics.timing(`${this.metricPrefix}.${order}`, ms);
+    this.add(order, ms);
   }
 
   count(event: keyof ActivityCounts): void {
@@ -98,6 +99,17 @@
     this.counts = {...ZERO_COUNTS};
     return report;
   }
+
+  private add(step: MeasuredStep, ms: number): void {
+    let sum = this.durations.get(step);
+    if (!sum) {
+      sum = {count: 0, totalMs: 0, longestMs: 0};
+      this.durations.set(step, sum);
+    }
+    sum.count++;
+    sum.totalMs += ms;
+    sum.longestMs = Math.max(sum.longestMs, ms);
+  }
 }
 
 function summarizeDurations({
--- a/packages/dispatch/tests/owner/owner_activity.test.ts
+++ b/packages/dispatch/tests/owner/owner_activity.test.ts
@@ -16,7 +16,7 @@
   it('summarizes each step separately', () => {
     activity.recordDuration('commit', 10);
     activity.recordDuration('commit', 40.26);
-    activity.recordDuration('hold', 7);
+    activity.recordOrder('hold', 7);
     expect(activity.takeReport().steps).to.deep.equal({
       commit: {count: 2, meanMs: 25.1, longestMs: 40},
       hold: {count: 1, meanMs: 7, longestMs: 7},
@@ -50,8 +50,8 @@
 
   // Guards against histograms that receive summaries only.
   it('passes each duration on to the metrics', () => {
-    activity.recordDuration('start', 4);
-    activity.recordDuration('start', 6);
+    activity.recordOrder('start', 4);
+    activity.recordOrder('start', 6);
     expect(metrics.timings).to.deep.equal([
       ['owner.start', 4],
       ['owner.start', 6],
