Count refused jobs in the view of shares

Cause: ShareMeter.countRefusal had no caller, so refusedJobs was always 0. Change: admission tells of each refused job's team.

--- a/packages/entry/src/dispatch/admission.ts
+++ b/packages/entry/src/dispatch/admission.ts
@@ -21,6 +21,8 @@
   readonly maxQueuedTasks: number;
   /** Grace period for an upstream that has not announced itself yet. */
   readonly unknownUpstreamWaitMs: number;
+  /** Called with the team of each refused job. */
+  readonly onRefused: (team: string) => void;
 }
 
 const RECHECK_PERIOD_MS = 50;
@@ -34,6 +36,14 @@
    * announce itself.
    */
   async decideAdmission(req: AdmissionRequest): Promise<AdmissionVerdict> {
+    const verdict = await this.decideWhenKnown(req);
+    if (verdict.problem) this.options.onRefused(req.job.team.team);
+    return verdict;
+  }
+
+  private async decideWhenKnown(
+    req: AdmissionRequest,
+  ): Promise<AdmissionVerdict> {
     for (;;) {
       const runnable = this.findWorstRunnability(req, Date.now());
       if (runnable.type === 'runnable') return this.limits(req, Date.now());
--- a/packages/entry/src/dispatch/dispatch_parts.ts
+++ b/packages/entry/src/dispatch/dispatch_parts.ts
@@ -77,8 +77,13 @@
     ...common,
     onUpstreamAvailable: requestDispatch,
   });
-  const scheduler = createDispatcher(options, {...common, monitor, renewer});
   const shares = createShareMeter(options, sharing);
+  const scheduler = createDispatcher(options, {
+    ...common,
+    monitor,
+    renewer,
+    shares,
+  });
   return {
     scheduler,
     sharing,
@@ -104,6 +109,7 @@
   readonly budget: RetryBudget;
   readonly monitor: UpstreamMonitor;
   readonly renewer: LeaseRenewer;
+  readonly shares: ShareMeter;
   readonly logger: Logger;
   readonly metrics: Metrics;
 }
@@ -125,7 +131,11 @@
       leaseMs: taskLeaseMs,
     }),
     credits: slots,
-    admission: new Admission({...parts, ...limits}),
+    admission: new Admission({
+      ...parts,
+      ...limits,
+      onRefused: team => parts.shares.countRefusal(team),
+    }),
     outcomes: new OutcomePolicy({
       ...parts,
       rng: prand.xoroshiro128plus(seed),
--- a/packages/entry/tests/dispatch/admission.test.ts
+++ b/packages/entry/tests/dispatch/admission.test.ts
@@ -50,6 +50,8 @@
       await clock.tickAsync(5_000);
       expect(verdict?.problem?.code).to.equal(code);
       expect(verdict?.reason).to.be.a('string');
+      const refused = code === undefined ? [] : [TEAM.team];
+      expect(harness.refusedTeams).to.deep.equal(refused);
       if (code !== undefined) {
         expect(verdict?.problem).to.include({
           outcome: 'not-run',
--- a/packages/entry/tests/dispatch/harness.ts
+++ b/packages/entry/tests/dispatch/harness.ts
@@ -70,6 +70,8 @@
 
 /** The dispatcher and the components that tests inspect. */
 export class Harness {
+  /** Teams of the refused jobs. */
+  readonly refusedTeams: string[] = [];
   readonly pool = new FakePool({token: undefined, instancesInDataCentre: 1});
   readonly ledger = new CreditLedger();
   readonly sharing = new WeightedFairSharing();
@@ -107,6 +109,7 @@
         ...parts,
         maxQueuedTasks: 1_000,
         unknownUpstreamWaitMs: 1_000,
+        onRefused: team => this.refusedTeams.push(team),
       }),
       outcomes: this.outcomes,
     });
