Take the counts of a recovered upstream out of the totals

Cause: a probe that succeeded cleared the counts of its upstream, but not its part of the totals, so that its past failures hid those of others. Change: both are cleared.

--- a/packages/decisions/src/health/outlier_ejection.ts
+++ b/packages/decisions/src/health/outlier_ejection.ts
@@ -103,7 +103,7 @@
     this.tasks.forgetTask(result.taskId);
     this.count(health, 1, 0, now);
     health.consecutiveFailures = 0;
-    return this.recordSuccess(result.upstream, health);
+    return this.recordSuccess(result.upstream, health, now);
   }
 
   getStatus(upstream: string, now: number): HealthStatus {
@@ -143,6 +143,13 @@
     this.totalCounts.add(successes, failures, now);
   }
 
+  /** Others are compared with the totals, so these lose the counts, too. */
+  private clearCounts(health: UpstreamHealth, now: number): void {
+    const {total, failures} = health.counts.getCounts(now);
+    this.totalCounts.add(failures - total, -failures, now);
+    health.counts.clear();
+  }
+
   private failed(
     result: UpstreamResult,
     health: UpstreamHealth,
@@ -228,6 +235,7 @@
   private recordSuccess(
     upstream: string,
     health: UpstreamHealth,
+    now: number,
   ): readonly HealthChange[] {
     if (health.state === 'available') return [];
     const reason = 'gradual-return';
@@ -238,7 +246,7 @@
       health.isProbing = false;
       health.state = 'returning';
       health.allowance = 1;
-      health.counts.clear();
+      this.clearCounts(health, now);
       return [{upstream, state: 'returning', reason}];
     }
     health.allowance *= 2;
--- a/packages/decisions/tests/health/outlier_ejection.test.ts
+++ b/packages/decisions/tests/health/outlier_ejection.test.ts
@@ -51,6 +51,18 @@
     expect(source.getStatus('u0', 0).state).to.equal('ejected');
   });
 
+  // Guards against past failures of a peer that hide those of an upstream.
+  it('ejects an upstream that fails after a peer has recovered', () => {
+    const source = createEjection(10);
+    ejectUpstream(source, 'u0');
+    const probeAtMs = 500;
+    source.recordProbeStart('u0');
+    recordResult(source, 'u0', true, probeAtMs);
+    expect(source.getStatus('u0', probeAtMs).state).to.equal('returning');
+    ejectUpstream(source, 'u1', probeAtMs);
+    expect(source.getStatus('u1', probeAtMs).state).to.equal('ejected');
+  });
+
   it('ejects no upstream when all fail alike, because the cause is elsewhere', () => {
     const source = createEjection(10);
     for (let n = 0; n < 500; n++)
