--- a/packages/dispatch/tests/instance/slow_carriers.test.ts
+++ b/packages/dispatch/tests/instance/slow_carriers.test.ts
@@ -9,6 +9,9 @@
   OrderMessage,
   OrdersEndMessage,
 } from '../../src/messages/order_messages.js';
+import {ForwardingPort} from '../../src/upstreams/forwarding_port.js';
+import type {
+  UpstreamPort} from '../../src/upstreams/upstream_port.js';
 import {
   type HoldAnswer,
   type HoldOrder,
@@ -16,7 +19,6 @@
   type StartOrder,
   type StopAnswer,
   type StopOrder,
-  UpstreamPort,
   type UpstreamTarget,
 } from '../../src/upstreams/upstream_port.js';
 import {type FakePort, findOverlappingRuns} from '../fake_upstreams.js';
@@ -45,30 +47,22 @@
 const JOB_EVERY_MS = 5;
 
 /** Counts the orders that the leader sends directly. */
-class DirectPort extends UpstreamPort {
+class DirectPort extends ForwardingPort {
   orders = 0;
 
-  constructor(private readonly port: FakePort) {
-    super();
-  }
-
   override start(to: UpstreamTarget, order: StartOrder): Promise<StartAnswer> {
     this.orders++;
-    return this.port.start(to, order);
+    return super.start(to, order);
   }
 
   override stop(to: UpstreamTarget, order: StopOrder): Promise<StopAnswer> {
     this.orders++;
-    return this.port.stop(to, order);
+    return super.stop(to, order);
   }
 
   override hold(to: UpstreamTarget, order: HoldOrder): Promise<HoldAnswer> {
     this.orders++;
-    return this.port.hold(to, order);
-  }
-
-  override releaseUpstream(): void {
-    // Nothing is kept per upstream.
+    return super.hold(to, order);
   }
 }
 
--- a/packages/dispatch/tests/owner/slow_upstreams.test.ts
+++ b/packages/dispatch/tests/owner/slow_upstreams.test.ts
@@ -5,16 +5,28 @@
   type HoldAnswer,
   type HoldOrder,
   OrderUnansweredError,
+  type StartAnswer,
+  type StartOrder,
+  type StopAnswer,
+  type StopOrder,
   type UpstreamTarget,
 } from '../../src/upstreams/upstream_port.js';
 import {OwnerHarness, step} from '../owner_harness.js';
 
 const RUN_MS = 3_000;
 
-/** Carries out holds at once; their answers take a while. */
+/** Carries out all orders at once; their answers take a while. */
 class SlowAnswerPort extends ForwardingPort {
   answerMs = 0;
 
+  override start(to: UpstreamTarget, order: StartOrder): Promise<StartAnswer> {
+    return this.answerLate(order.timeoutMs, super.start(to, order));
+  }
+
+  override stop(to: UpstreamTarget, order: StopOrder): Promise<StopAnswer> {
+    return this.answerLate(order.timeoutMs, super.stop(to, order));
+  }
+
   override hold(to: UpstreamTarget, order: HoldOrder): Promise<HoldAnswer> {
     return this.answerLate(order.timeoutMs, super.hold(to, order));
   }
