--- a/packages/dispatch/tests/instance/slow_carriers.test.ts
+++ b/packages/dispatch/tests/instance/slow_carriers.test.ts
@@ -10,8 +10,7 @@
   OrdersEndMessage,
 } from '../../src/messages/order_messages.js';
 import {ForwardingPort} from '../../src/upstreams/forwarding_port.js';
-import type {
-  UpstreamPort} from '../../src/upstreams/upstream_port.js';
+import type {UpstreamPort} from '../../src/upstreams/upstream_port.js';
 import {
   type HoldAnswer,
   type HoldOrder,
