Keep leases short while a slow clock is only read late

Cause: since late readings are not used, and the estimate went on at full rate from the last one. The lease of an upstream whose clock is 2% slow and whose answers come 240 ms later for seconds grew by up to that time, beyond what the next owner waits for before it starts the task elsewhere. Found by reading. Change: from the first second on an old reading is extended at the slowest rate.

--- a/packages/dispatch/src/owner/lease_clock.ts
+++ b/packages/dispatch/src/owner/lease_clock.ts
@@ -3,6 +3,9 @@
 /** Slowest rate of an upstream's monotonic clock relative to this process's. */
 const SLOWEST_CLOCK_RATE = 0.98;
 
+/** Age of a reading in ms from which its clock is taken as the slowest. */
+const FRESH_READING_MS = 1_000;
+
 /** Error from rounding clock readings to whole milliseconds on both sides. */
 const CLOCK_ROUNDING_MS = 2;
 
@@ -49,7 +52,13 @@
     return left > 0 ? at + left / SLOWEST_CLOCK_RATE : at;
   }
 
+  /**
+   * The next owner waits for leases of the usual length, so an old reading of a
+   * slow clock must not make them longer.
+   */
   private estimateReading(now: number): number {
-    return this.lastReading.clockMs + (now - this.lastReading.at);
+    const {clockMs, at} = this.lastReading;
+    const freshMs = Math.min(now - at, FRESH_READING_MS);
+    return clockMs + freshMs + (now - at - freshMs) * SLOWEST_CLOCK_RATE;
   }
 }
