--- a/review/1/main.mjs
+++ b/review/1/main.mjs
@@ -1,53 +1,74 @@
-/** The leader is killed while large accepted jobs wait for their turn. */
+/** An operator with many routes changes them again and again. */
+import {performance} from 'node:perf_hooks';
+import {setTimeout} from 'node:timers';
 import {setTimeout as sleep} from 'node:timers/promises';
 
-import {runCase, TROUBLE} from '../stand_ins/case.mjs';
-import {findIdleJobs} from '../stand_ins/rules.mjs';
+import {runCase, SERVICE, TROUBLE} from '../stand_ins/case.mjs';
+import {configuration} from '../stand_ins/clients.mjs';
 
-const JOBS = 150;
-const TASKS = 330;
-const RUN_MS = 200;
-const CPU = 1_000;
-const GAP_MS = 100;
+/** Routes besides the one of the clients, with and without the disruption. */
+const ROUTES = TROUBLE ? 1_750 : 50;
+const CHANGES_PER_S = 8;
+const PLAY_MS = 80_000;
+const RESTART_AFTER_MS = 500;
 
-/** Number of jobs after which the leader is killed, and for how long. */
-const KILL_AFTER_JOBS = 120;
-const DOWN_MS = 3_000;
+/** Ends of a machine's processes in a day that are a fault, and machines. */
+const ENDS = 3;
+const MACHINES = 2;
 
-const FINISH_MS = 14_000;
-const WATCH_MS = 3_200;
-const ASKED_JOBS = 5;
-
-const WORKERS = [1, 2, 3, 4].map(n => ({
+const WORKERS = [1, 2].map(n => ({
   id: `w-${n}`,
   labels: ['a', `r1-${n}`],
-  cpu: 16_000,
+  cpu: 4_000,
 }));
 
-async function play({deployment, clients, workers, record}) {
-  const steps = [{count: TASKS, cpu: CPU, estimatedMs: RUN_MS}];
-  const submissions = [];
-  for (let n = 0; n < JOBS; n++) {
-    if (n === KILL_AFTER_JOBS && TROUBLE) void killLeader(deployment);
-    submissions.push(clients.submit(`run ${RUN_MS} cpu ${CPU}`, steps));
-    await sleep(GAP_MS);
+async function play({deployment, record}) {
+  const {members} = deployment;
+  for (const member of members) restartWhenEnded(deployment, member, record);
+  const startedAt = performance.now();
+  for (let n = 0; performance.now() - startedAt < PLAY_MS; n++) {
+    const version = 10 + 3 * n;
+    void deployment.configure(largeConfiguration(version)).catch(() => {
+      record.add('not-configured', {version});
+    });
+    await sleep(1_000 / CHANGES_PER_S);
+    if (findCrashing(record, members).length >= MACHINES) break;
   }
-  await sleep(FINISH_MS);
-  const from = record.now;
-  await sleep(WATCH_MS);
-  const accepted = clients.accepted;
-  const jobs = accepted.map(id => ({id, tasks: TASKS, cpu: CPU, label: null}));
-  const to = record.now;
-  const idle = findIdleJobs({record, workers, jobs, from, to});
-  for (const id of accepted.slice(0, ASKED_JOBS)) await clients.state(id);
-  return idle.map(id => `${id} has nothing running from ${from} to ${to} ms`);
+  const crashing = findCrashing(record, members);
+  if (crashing.length < MACHINES) return [];
+  return crashing.map(
+    ({name, ends}) => `${name} ended by itself ${ends.length} times`,
+  );
+}
+
+function largeConfiguration(version) {
+  const small = configuration(version, SERVICE);
+  const [route] = small.routes;
+  const others = Array.from({length: ROUTES}, (_, n) => ({
+    ...route,
+    name: `r-idle-${n}`,
+    host: `idle-${n}.example`,
+    timeoutMs: 1_000 + (version % 500),
+  }));
+  return {...small, routes: [route, ...others]};
+}
+
+/** The platform starts a process again that has ended. */
+function restartWhenEnded(deployment, member, record) {
+  member.child.once('exit', (code, signal) => {
+    record.add('ended-by-itself', {name: member.name, code, signal});
+    setTimeout(() => {
+      deployment.start(member);
+      restartWhenEnded(deployment, member, record);
+    }, RESTART_AFTER_MS);
+  });
 }
 
-async function killLeader(deployment) {
-  const leader = await deployment.leader();
-  deployment.signal(leader, 'SIGKILL');
-  await sleep(DOWN_MS);
-  deployment.start(leader);
+function findCrashing(record, members) {
+  const ends = record.of('ended-by-itself');
+  return members
+    .map(({name}) => ({name, ends: ends.filter(each => each.name === name)}))
+    .filter(each => each.ends.length >= ENDS);
 }
 
 await runCase(import.meta.url, {workers: WORKERS, play});
--- a/review/3/main.mjs
+++ b/review/3/main.mjs
@@ -1,59 +1,45 @@
-/** The leader is frozen while a worker is restarted under its id. */
+/** Many short tasks of jobs that come at once end together on one worker. */
+import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 
 import {runCase, TROUBLE} from '../stand_ins/case.mjs';
-import {findIdleJobs} from '../stand_ins/rules.mjs';
+import {findStartsAfterDone} from '../stand_ins/rules.mjs';
 
-const FREEZE_AFTER_MS = 1_500;
-const FREEZE_MS = 6_000;
-const RESTART_AFTER_MS = 500;
-const CALM_MS = 4_000;
-const JOBS = 10;
-const GAP_MS = 300;
-const RUN_MS = 200;
-const CPU = 1_000;
-const FINISH_MS = 14_000;
-const WATCH_MS = 3_200;
+const TASKS = 20;
+const CPU = 10;
 
-const WORKERS = [1, 2, 3, 4].map(n => ({
-  id: `w-${n}`,
-  labels: [n === 4 ? 'b' : 'a', `r1-${n}`],
-  cpu: 4_000,
-}));
+/** Usual rate of jobs, and its multiple while many users come. */
+const JOBS_PER_S = 12;
+const BURST = 1.8;
 
-async function play({deployment, clients, workers, record}) {
-  const [restarted] = workers.slice(-1);
-  const leader = await deployment.leader();
-  const restart = async () => {
-    await restarted.leave();
-    await sleep(RESTART_AFTER_MS);
-    await restarted.restart();
-  };
-  const restarting = restart();
-  await sleep(FREEZE_AFTER_MS);
-  if (TROUBLE) deployment.signal(leader, 'SIGSTOP');
-  await sleep(FREEZE_MS);
-  if (TROUBLE) deployment.signal(leader, 'SIGCONT');
-  await restarting;
-  await sleep(CALM_MS);
-  const steps = [{count: 1, cpu: CPU, estimatedMs: RUN_MS, requirements: 'b'}];
-  for (let n = 0; n < JOBS; n++) {
-    await clients.submit(`run ${RUN_MS} cpu ${CPU}`, steps);
-    await sleep(GAP_MS);
+/** Length of a round of jobs, and when after its begin all its tasks end. */
+const ROUND_MS = 2_000;
+const ROUND_END_MS = 2_600;
+const ROUNDS = 5;
+const PAUSE_MS = 4_000;
+const SETTLE_MS = 3_000;
+
+const WORKERS = [
+  {id: 'w-1', labels: ['a', 'r1-1'], cpu: 16_000},
+  {id: 'w-2', labels: ['a', 'r1-2'], cpu: 2_000},
+  {id: 'w-3', labels: ['a', 'r1-3'], cpu: 2_000},
+];
+
+async function play({clients, record}) {
+  const gapMs = 1_000 / (JOBS_PER_S * (TROUBLE ? BURST : 1));
+  for (let round = 0; round < ROUNDS; round++) {
+    const startedAt = performance.now();
+    for (let n = 0; n * gapMs < ROUND_MS; n++) {
+      const runMs = Math.round(ROUND_END_MS - n * gapMs);
+      const steps = [{count: TASKS, cpu: CPU, estimatedMs: runMs}];
+      void clients.submit(`run ${runMs} cpu ${CPU}`, steps);
+      const nextAt = startedAt + (n + 1) * gapMs;
+      await sleep(Math.max(0, nextAt - performance.now()));
+    }
+    await sleep(PAUSE_MS);
   }
-  await sleep(FINISH_MS);
-  const from = record.now;
-  await sleep(WATCH_MS);
-  const to = record.now;
-  const jobs = clients.accepted.map(id => ({
-    id,
-    tasks: 1,
-    cpu: CPU,
-    label: 'b',
-  }));
-  const idle = findIdleJobs({record, workers, jobs, from, to});
-  for (const id of clients.accepted) await clients.state(id);
-  return idle.map(id => `${id} has nothing running from ${from} to ${to} ms`);
+  await sleep(SETTLE_MS);
+  return findStartsAfterDone(record);
 }
 
 await runCase(import.meta.url, {workers: WORKERS, play});
