--- a/review/1/main.mjs
+++ b/review/1/main.mjs
@@ -8,8 +8,11 @@
 
 /** Routes besides the one of the clients, with and without the disruption. */
 const ROUTES = TROUBLE ? 1_750 : 50;
-const CHANGES_PER_S = 8;
-const PLAY_MS = 80_000;
+const CHANGES_PER_S = 10;
+
+/** Orders that an operator has in progress at once. */
+const ORDERS = 8;
+const PLAY_MS = 90_000;
 const RESTART_AFTER_MS = 500;
 
 /** Ends of a machine's processes in a day that are a fault, and machines. */
@@ -25,15 +28,25 @@
 async function play({deployment, record}) {
   const {members} = deployment;
   for (const member of members) restartWhenEnded(deployment, member, record);
-  const startedAt = performance.now();
-  for (let n = 0; performance.now() - startedAt < PLAY_MS; n++) {
-    const version = 10 + 3 * n;
-    void deployment.configure(largeConfiguration(version)).catch(() => {
-      record.add('not-configured', {version});
-    });
-    await sleep(1_000 / CHANGES_PER_S);
-    if (findCrashing(record, members).length >= MACHINES) break;
-  }
+  const until = performance.now() + PLAY_MS;
+  let version = 10;
+  const isOver = () =>
+    performance.now() > until ||
+    findCrashing(record, members).length >= MACHINES;
+  const change = async () => {
+    while (!isOver()) {
+      const sentAt = performance.now();
+      version += 3;
+      await deployment.configure(largeConfiguration(version)).catch(() => {
+        record.add('not-configured', {version});
+      });
+      const nextAt = sentAt + (1_000 * ORDERS) / CHANGES_PER_S;
+      await sleep(Math.max(0, nextAt - performance.now()));
+    }
+  };
+  const operators = Array.from({length: ORDERS}, change);
+  while (!isOver()) await sleep(100);
+  void Promise.all(operators);
   const crashing = findCrashing(record, members);
   if (crashing.length < MACHINES) return [];
   return crashing.map(
