Bound the log, its messages and entries by their size

Callers saw: after some 220 changes of a configuration of 1,750 routes every member ended with a full heap, again after each restart; jobs were refused for good and the configuration couldn't be read back.

Change: entries carry the approximate size of their commands.

--- a/packages/coordination/src/records/record_store.ts
+++ b/packages/coordination/src/records/record_store.ts
@@ -1,7 +1,7 @@
 /** Submission records by job id, with an index by expiry time. */
 import {must} from '@mustardferry/model';
 
-import {estimateBytes} from './approximate_size.js';
+import {estimateBytes} from '../approximate_size.js';
 import type {SubmissionRecord, TaskStart} from './record_messages.js';
 
 /** Width of an expiry bucket. Expiry visits only the records in due buckets. */
--- a/packages/coordination/src/records/records_state.ts
+++ b/packages/coordination/src/records/records_state.ts
@@ -2,9 +2,9 @@
 import {assertNever, type JobAnswer} from '@mustardferry/model';
 import {pack, unpack} from 'msgpackr';
 
+import {estimateBytes} from '../approximate_size.js';
 import {SnapshotFormatError} from '../errors.js';
 import {StateMachine} from '../replicated_log/state_machine.js';
-import {estimateBytes} from './approximate_size.js';
 import {
   createRecord,
   finishRecord,
--- a/packages/coordination/src/replicated_log/core_events.ts
+++ b/packages/coordination/src/replicated_log/core_events.ts
@@ -18,6 +18,8 @@
   | {
       readonly type: 'propose';
       readonly commands: readonly C[];
+      /** Approximate size of the commands in memory. */
+      readonly bytes?: number;
       readonly durable: boolean;
     }
   | {readonly type: 'synced'; readonly index: number; readonly term: number}
--- a/packages/coordination/src/replicated_log/core_state.ts
+++ b/packages/coordination/src/replicated_log/core_state.ts
@@ -16,6 +16,11 @@
    */
   readonly calmElectionTimeoutMs?: number;
   readonly maxEntriesPerMessage: number;
+  /**
+   * Approximate size of the entries in a message; a larger entry is sent alone.
+   * Unlimited by default.
+   */
+  readonly maxBytesPerMessage?: number;
   /** Silence after which a voter may be replaced; never by default. */
   readonly replaceSilentAfterMs?: number;
   /** Number of voters up to which members are added; none by default. */
--- a/packages/coordination/src/replicated_log/leader_replication.ts
+++ b/packages/coordination/src/replicated_log/leader_replication.ts
@@ -7,6 +7,7 @@
   type LogCoreState,
   type Progress,
 } from './core_state.js';
+import {sliceEntries} from './entry_slices.js';
 import type {LogEntry} from './log_entries.js';
 import {
   ABSENT_INCARNATION,
@@ -108,7 +109,7 @@
   const offset = from - snapshot.index - 1;
   const entries = needsSnapshot
     ? []
-    : state.entries.slice(offset, offset + ctx.cfg.maxEntriesPerMessage);
+    : sliceEntries(state.entries, offset, ctx.cfg);
   if (entries.length === 0 && !force) return peer;
   sendMessage(ctx, peer.member, {
     type: 'append',
--- a/packages/coordination/src/replicated_log/log_entries.ts
+++ b/packages/coordination/src/replicated_log/log_entries.ts
@@ -13,6 +13,11 @@
   readonly index: number;
   readonly term: number;
   readonly commands: readonly C[];
+  /**
+   * Approximate size of the commands in memory; absent without commands and in
+   * entries of earlier versions.
+   */
+  readonly bytes?: number;
   /** Whether a command must be synced to a disk before it is acknowledged. */
   readonly durable: boolean;
   /** Present only in entries that change the voter set. */
--- a/packages/coordination/src/replicated_log/log_options.ts
+++ b/packages/coordination/src/replicated_log/log_options.ts
@@ -34,8 +34,19 @@
   readonly maxEntriesPerMessage?: number;
   /** Maximum number of commands in an entry; 1,000 by default. */
   readonly maxBatch?: number;
+  /**
+   * Approximate size in bytes of the entries in a message, and of the commands
+   * in an entry; a larger command travels alone. 1 MiB by default.
+   */
+  readonly maxBytesPerMessage?: number;
   /** Number of entries between snapshots; 1,000 by default. */
   readonly snapshotEveryEntries?: number;
+  /**
+   * Approximate size in bytes of the entries between snapshots; 4 MiB by
+   * default. While a snapshot is larger than this, its size applies, so that
+   * the cost of snapshots stays proportional to that of the entries.
+   */
+  readonly snapshotEveryBytes?: number;
   /**
    * Time without replies after which a registered member of another name may
    * replace a voter; never by default.
@@ -59,7 +70,9 @@
 /** Options with the defaults filled in. */
 export interface LogSettings extends LogCoreConfig {
   readonly maxBatch: number;
+  readonly maxBytesPerMessage: number;
   readonly snapshotEveryEntries: number;
+  readonly snapshotEveryBytes: number;
 }
 
 /** Fills in the defaults. */
@@ -72,8 +85,10 @@
     heartbeatMs: options.heartbeatMs ?? 100,
     electionTimeoutMs: options.electionTimeoutMs ?? 400,
     maxEntriesPerMessage: options.maxEntriesPerMessage ?? 64,
+    maxBytesPerMessage: options.maxBytesPerMessage ?? 1024 * 1024,
     maxBatch: options.maxBatch ?? 1000,
     snapshotEveryEntries: options.snapshotEveryEntries ?? 1000,
+    snapshotEveryBytes: options.snapshotEveryBytes ?? 4 * 1024 * 1024,
     ...(options.calmElectionTimeoutMs === undefined
       ? {}
       : {calmElectionTimeoutMs: options.calmElectionTimeoutMs}),
--- a/packages/coordination/src/replicated_log/machine_runner.ts
+++ b/packages/coordination/src/replicated_log/machine_runner.ts
@@ -2,6 +2,7 @@
 import {must} from '@mustardferry/model';
 
 import {getEntryAt, hasRecovered, type LogCoreState} from './core_state.js';
+import {sliceEntries} from './entry_slices.js';
 import type {LogSnapshot} from './log_entries.js';
 import type {FetchedLog} from './log_feed.js';
 import type {LogSettings} from './log_options.js';
@@ -15,6 +16,8 @@
 export class MachineRunner<C, R> {
   private readonly machine: StateMachine<C, R>;
   private lastApplied = 0;
+  /** Approximate size of the entries applied since the last snapshot. */
+  private bytesSinceSnapshot = 0;
   private recoveryComplete = false;
 
   constructor(machine: StateMachine<C, R>, snapshot: LogSnapshot) {
@@ -45,39 +48,53 @@
       );
       const results = entry.commands.map(c => this.machine.apply(c, index));
       this.lastApplied = index;
+      this.bytesSinceSnapshot += entry.bytes ?? 0;
       onApplied(index, results);
     }
     this.recoveryComplete ||= hasRecovered(state);
   }
 
   /**
-   * Takes a snapshot if enough entries were applied since the last one. A
-   * leader waits for voters that lag slightly, so that they do not need a
-   * snapshot for the last few entries. No snapshot is taken while a voter
-   * change is incomplete.
+   * Takes a snapshot if entries of enough number or size were applied since the
+   * last one, as all of them are kept in memory until then. A leader waits for
+   * voters that lag slightly, so that they do not need a snapshot for the last
+   * few entries. No snapshot is taken while a voter change is incomplete.
    */
   takeSnapshotIfDue(
     state: LogCoreState<C>,
     settings: LogSettings,
   ): Uint8Array | null {
-    const count = this.lastApplied - state.snapshot.index;
-    const interval = settings.snapshotEveryEntries;
-    if (count < interval || state.config.votersBeforeChange) return null;
+    const intervals = this.countSnapshotIntervals(state, settings);
+    if (intervals < 1 || state.config.votersBeforeChange) return null;
     const hasLaggingVoter = state.config.voters.some(
       voter =>
         !isSameMember(voter, state.self) &&
         (state.progress[getMemberKey(voter)]?.match ?? 0) < this.lastApplied,
     );
     const isDelayed = state.role === 'leader' && hasLaggingVoter;
-    if (isDelayed && count < interval * MAX_SNAPSHOT_DELAY_FACTOR) return null;
+    if (isDelayed && intervals < MAX_SNAPSHOT_DELAY_FACTOR) return null;
+    this.bytesSinceSnapshot = 0;
     return this.machine.snapshot();
   }
 
+  /** Progress from the last snapshot to the next one, which is due at 1. */
+  private countSnapshotIntervals(
+    {snapshot}: LogCoreState<C>,
+    {snapshotEveryEntries, snapshotEveryBytes}: LogSettings,
+  ): number {
+    const count = this.lastApplied - snapshot.index;
+    const bytes = Math.max(snapshotEveryBytes, snapshot.data.byteLength);
+    return Math.max(
+      count / snapshotEveryEntries,
+      this.bytesSinceSnapshot / bytes,
+    );
+  }
+
   /** Returns committed entries after an index, or a snapshot if compacted. */
   fetch(
     state: LogCoreState<C>,
     afterIndex: number,
-    maxEntries: number,
+    limits: Pick<LogSettings, 'maxEntriesPerMessage' | 'maxBytesPerMessage'>,
     confirmedMsAgo: number,
   ): FetchedLog<C> {
     const commitIndex = this.lastApplied;
@@ -87,14 +104,15 @@
       const data = this.machine.snapshot();
       return {...common, kind: 'snapshot', index: commitIndex, data};
     }
+    const committed = state.entries.slice(0, commitIndex - snapshotIndex);
     const start = afterIndex - snapshotIndex;
-    const end = Math.min(start + maxEntries, commitIndex - snapshotIndex);
-    const entries = state.entries.slice(start, Math.max(start, end));
+    const entries = sliceEntries(committed, start, limits);
     return {...common, kind: 'entries', entries};
   }
 
   private restore(snapshot: LogSnapshot): void {
     this.machine.restore(snapshot.data);
     this.lastApplied = snapshot.index;
+    this.bytesSinceSnapshot = 0;
   }
 }
--- a/packages/coordination/src/replicated_log/proposals.ts
+++ b/packages/coordination/src/replicated_log/proposals.ts
@@ -1,15 +1,25 @@
 /** Proposals of a leader, from the call until their promises are settled. */
+import {estimateBytes} from '../approximate_size.js';
 import {NotLeaderError, OutcomeUnknownError} from './log_errors.js';
+import type {LogSettings} from './log_options.js';
 import type {MemberId} from './members.js';
 import {createClosedError} from './proposal_refusal.js';
 
 interface Proposal<C, R> {
   readonly command: C;
+  /** Approximate size of the command in memory. */
+  readonly bytes: number;
   readonly durable: boolean;
   readonly resolve: (result: R) => void;
   readonly reject: (err: Error) => void;
 }
 
+/** Proposals for one entry, with the approximate size of their commands. */
+interface Batch<C, R> {
+  readonly proposals: readonly Proposal<C, R>[];
+  readonly bytes: number;
+}
+
 interface ProposedEntry<C, R> {
   readonly proposals: readonly Proposal<C, R>[];
   /** Results in the order of the proposals, once the entry is applied. */
@@ -34,7 +44,8 @@
 
   add(command: C, durable: boolean): Promise<R> {
     return new Promise((resolve, reject) => {
-      this.queue.push({command, durable, resolve, reject});
+      const bytes = estimateBytes(command);
+      this.queue.push({command, bytes, durable, resolve, reject});
       this.requestFlush();
     });
   }
@@ -49,11 +60,21 @@
     });
   }
 
-  /** Removes the next batch from the queue. */
-  takeBatch(maxBatch: number): readonly Proposal<C, R>[] {
-    const batch = this.queue.slice(0, maxBatch);
-    this.queue = this.queue.slice(maxBatch);
-    return batch;
+  /** Removes the next batch from the queue; it holds at least one proposal. */
+  takeBatch({
+    maxBatch,
+    maxBytesPerMessage,
+  }: Pick<LogSettings, 'maxBatch' | 'maxBytesPerMessage'>): Batch<C, R> {
+    let bytes = 0;
+    let count = 0;
+    for (const proposal of this.queue.slice(0, maxBatch)) {
+      if (count > 0 && bytes + proposal.bytes > maxBytesPerMessage) break;
+      bytes += proposal.bytes;
+      count++;
+    }
+    const proposals = this.queue.slice(0, count);
+    this.queue = this.queue.slice(count);
+    return {proposals, bytes};
   }
 
   /** Records the entry that contains a batch. */
--- a/packages/coordination/src/replicated_log/replicated_log.ts
+++ b/packages/coordination/src/replicated_log/replicated_log.ts
@@ -191,7 +191,8 @@
   fetch(afterIndex: number, maxEntries: number): FetchedLog<C> {
     const {state} = this.core;
     const {confirmedMsAgo} = this.status();
-    return this.machine.fetch(state, afterIndex, maxEntries, confirmedMsAgo);
+    const limits = {...this.settings, maxEntriesPerMessage: maxEntries};
+    return this.machine.fetch(state, afterIndex, limits, confirmedMsAgo);
   }
 
   /** Stops the member and waits for its pending writes. */
@@ -264,13 +265,11 @@
       return;
     }
     if (lastIndex(state) > state.commitIndex) return;
-    const batch = this.proposals.takeBatch(this.settings.maxBatch);
-    this.proposals.trackEntry(lastIndex(state) + 1, batch);
-    this.core.dispatch({
-      type: 'propose',
-      commands: batch.map(proposal => proposal.command),
-      durable: batch.some(proposal => proposal.durable),
-    });
+    const {proposals, bytes} = this.proposals.takeBatch(this.settings);
+    this.proposals.trackEntry(lastIndex(state) + 1, proposals);
+    const commands = proposals.map(({command}) => command);
+    const durable = proposals.some(proposal => proposal.durable);
+    this.core.dispatch({type: 'propose', commands, bytes, durable});
   }
 
   private handleStorageFailure(cause: unknown): void {
--- a/packages/coordination/src/replicated_log/step.ts
+++ b/packages/coordination/src/replicated_log/step.ts
@@ -67,8 +67,9 @@
       return handleMessage(ctx, state, event.from, event.message);
     case 'propose': {
       if (state.role !== 'leader' || state.transfer) return state;
-      const {commands, durable} = event;
-      const appended = appendLeaderEntry(ctx, state, {commands, durable});
+      const {commands, bytes = 0, durable} = event;
+      const content = {commands, bytes, durable};
+      const appended = appendLeaderEntry(ctx, state, content);
       return sendAppendToAll(ctx, appended, false);
     }
     case 'synced':
--- a/packages/coordination/src/storage_adapter/stored_log.ts
+++ b/packages/coordination/src/storage_adapter/stored_log.ts
@@ -15,6 +15,7 @@
   readonly index: number;
   readonly term: number;
   readonly commands: readonly C[];
+  readonly bytes?: number;
   readonly durable: boolean;
   readonly replacement?: {
     readonly remove: StoredMemberId | null;
