Take a run as absent only from a complete list of ends

Callers saw: tasks that had ended as done started again on another upstream, when more than 500 ends of one upstream waited for their acknowledgement; after a change of the leader as well.

Cause: an upstream lists 500 ends at a time. RunTable.compareWithActive took a run that was neither active nor in that page as lost.

Change: an answer says whether ends may be missing. Until a list is complete no run is absent, a new owner doesn't count the upstream as recovered, also beyond the leases of earlier owners, and the refusal of an older run number waits, as the task may be done.

--- a/packages/dispatch/src/owner/owner.ts
+++ b/packages/dispatch/src/owner/owner.ts
@@ -60,6 +60,9 @@
 /** Margin for orders of earlier owners that are still in flight. */
 const IN_FLIGHT_MARGIN_MS = 80;
 
+/** Interval in ms between checks for upstreams that still list run ends. */
+const LISTING_CHECK_MS = 50;
+
 /** How long runs of unknown jobs are kept, as callers may resubmit the jobs. */
 const ORPHAN_GRACE_MS = 2_500;
 
@@ -192,9 +195,7 @@
     });
     const settleMs =
       earlierLeaseMs + this.leaseMs * CLOCK_DRIFT_FACTOR + IN_FLIGHT_MARGIN_MS;
-    this.timers.push(
-      setTimeout(() => this.completeFencing('leases expired'), settleMs),
-    );
+    this.completeFencingAfter(settleMs);
     this.timers.push(
       setTimeout(() => this.dispatcher.stopOrphans(), ORPHAN_GRACE_MS),
     );
@@ -209,8 +210,25 @@
   }
 
   /**
-   * Allows all starts: every upstream has either listed its runs under this
-   * owner's token, or its leases from earlier owners have expired.
+   * Completes the fencing once the leases of earlier owners have expired. An
+   * upstream that has answered since holds a lease of this owner, so the ends
+   * that it has not listed yet remain valid and are waited for.
+   */
+  private completeFencingAfter(ms: number): void {
+    const timer = setTimeout(() => {
+      const {openSessions} = this.sessionRegistry;
+      if (openSessions.some(({isListingEnds}) => isListingEnds)) {
+        this.completeFencingAfter(LISTING_CHECK_MS);
+      } else {
+        this.completeFencing('leases expired');
+      }
+    }, ms);
+    this.timers.push(timer);
+  }
+
+  /**
+   * Allows all starts: every upstream has either listed its runs and run ends
+   * under this owner's token, or its leases from earlier owners have expired.
    */
   private completeFencing(cause: string): void {
     if (this.closed || this.dispatcher.isRecoveryComplete) return;
--- a/packages/dispatch/src/owner/run_orders.ts
+++ b/packages/dispatch/src/owner/run_orders.ts
@@ -5,6 +5,7 @@
   type StartAnswer,
   type StartRefusal,
 } from '../upstreams/upstream_port.js';
+import type {HoldHistory} from './hold_history.js';
 import type {Run} from './job_table_types.js';
 import type {LeaseClock} from './lease_clock.js';
 import type {RunTable} from './run_table.js';
@@ -23,8 +24,7 @@
   readonly hasEnded: () => boolean;
   /** Sends a hold that the upstream answers without waiting for an end. */
   readonly holdNow: () => Promise<void>;
-  /** When the newest answered hold was sent. */
-  readonly answeredHoldSentAt: () => number;
+  readonly holds: HoldHistory;
   /** Wakes the loop of holds, so that the session waits for ends. */
   readonly wakeHoldLoop: () => void;
 }
@@ -104,7 +104,8 @@
       leaseClock()?.observeReading(answer.clockMs, performance.now());
     }
     if (answer.type === 'refused') {
-      this.refuseRun(run, answer.reason);
+      if (answer.reason === 'older-run') void this.refuseOlderRun(run);
+      else this.refuseRun(run, answer.reason);
       if (answer.reason === 'superseded') options.events.superseded(session);
       return;
     }
@@ -120,12 +121,27 @@
     options.events.startRefused(run, reason);
   }
 
+  /**
+   * Handles the refusal of a run number that the upstream takes as used. The
+   * task may have ended there under it, so its ends are listed before the task
+   * starts under a higher number.
+   */
+  private async refuseOlderRun(run: Run): Promise<void> {
+    const {holdNow, holds, runs, hasEnded} = this.context;
+    const refusedAt = performance.now();
+    await holdNow();
+    while (runs.has(run) && holds.completeSentAt < refusedAt && !hasEnded()) {
+      await sleep(SESSION_TIMING.retryPauseMs);
+    }
+    if (!hasEnded()) this.refuseRun(run, 'older-run');
+  }
+
   /**
    * Determines whether a run was started, and if not, stops it so that a
    * delayed start order has no effect.
    */
   async verifyRun(run: Run): Promise<void> {
-    const {holdNow, answeredHoldSentAt, hasEnded} = this.context;
+    const {holdNow, holds, hasEnded} = this.context;
     run.phase = 'uncertain';
     run.task.job.started = true;
     const verifyingSince = performance.now();
@@ -133,7 +149,7 @@
     // Without an answer, waits for one of the session's regular holds.
     while (
       this.isUncertain(run) &&
-      answeredHoldSentAt() < verifyingSince &&
+      holds.answeredSentAt < verifyingSince &&
       !hasEnded()
     ) {
       await sleep(SESSION_TIMING.retryPauseMs);
--- a/packages/dispatch/src/owner/run_table.ts
+++ b/packages/dispatch/src/owner/run_table.ts
@@ -2,7 +2,7 @@
 import {getTaskKey, type TaskId} from '../jobs/job_types.js';
 import type {
   ActiveRun,
-  HoldAnswer,
+  HeldAnswer,
   RunEnd,
 } from '../upstreams/upstream_port.js';
 import type {UpstreamRecord} from '../upstreams/upstream_types.js';
@@ -83,7 +83,7 @@
    * answers can arrive out of order. The ends of an outdated answer are also in
    * the newer list, or a later one lists them again.
    */
-  isOutdated(answer: Extract<HoldAnswer, {type: 'held'}>): boolean {
+  isOutdated(answer: HeldAnswer): boolean {
     // Without startedAt, an incarnation with a new clock may have answered.
     const isSameIncarnation = answer.startedAt !== undefined;
     return isSameIncarnation && answer.clockMs < this.latestListClockMs;
@@ -110,14 +110,14 @@
   /**
    * Compares the table with the active runs that the upstream lists.
    *
+   * @param answer The list. While it leaves out ends, no run counts as absent,
+   *     as its end may be one of those.
    * @param sentAt When the list was requested; runs confirmed later may be
    *     missing from it.
-   * @param clockMs Upstream clock reading of the list.
    */
   compareWithActive(
-    active: readonly ActiveRun[],
+    {active, clockMs, moreEnds}: HeldAnswer,
     sentAt: number,
-    clockMs: number,
   ): RunComparison {
     const listed = new Set<Run>();
     const confirmed: Run[] = [];
@@ -134,6 +134,7 @@
         confirmed.push(run);
       }
     }
+    if (moreEnds) return {confirmed, untracked, absent: []};
     const missing = this.all.filter(run => !listed.has(run));
     const absent = missing.flatMap(run => {
       const cause = findAbsenceCause(run, sentAt);
--- a/packages/dispatch/src/owner/session_types.ts
+++ b/packages/dispatch/src/owner/session_types.ts
@@ -21,7 +21,10 @@
 
 /** Events of a session; the methods must not throw. */
 export interface SessionEvents {
-  /** First answer under this owner's token. */
+  /**
+   * All run ends up to an answer under this owner's token are known, for the
+   * first time.
+   */
   fenced(session: UpstreamSession): void;
   contactChanged(session: UpstreamSession, from: Contact, cause: string): void;
   /**
--- a/packages/dispatch/src/owner/upstream_session.ts
+++ b/packages/dispatch/src/owner/upstream_session.ts
@@ -1,12 +1,14 @@
 /** The owner's session with one incarnation of an upstream. */
 import type {
   ActiveRun,
+  HeldAnswer,
   HoldAnswer,
   RunEnd,
 } from '../upstreams/upstream_port.js';
 import {upstreamKey, type UpstreamRecord} from '../upstreams/upstream_types.js';
 import {EndCommits} from './end_commits.js';
 import {EndsCursor} from './ends_cursor.js';
+import {HoldHistory} from './hold_history.js';
 import type {Run} from './job_table_types.js';
 import {LeaseClock} from './lease_clock.js';
 import {PendingStarts} from './pending_starts.js';
@@ -44,8 +46,7 @@
     this.endsCursor.markCommitted(upTo),
   );
   private readonly starts = new PendingStarts();
-  /** When the newest answered hold was sent. */
-  private answeredHoldSentAt = Number.NEGATIVE_INFINITY;
+  private readonly holds = new HoldHistory();
   private closed = false;
 
   constructor(private readonly options: SessionOptions) {
@@ -65,7 +66,7 @@
       leaseClock: () => this.leaseClock,
       hasEnded: () => this.closed || this.state === 'lost',
       holdNow: () => this.holdNow(),
-      answeredHoldSentAt: () => this.answeredHoldSentAt,
+      holds: this.holds,
       wakeHoldLoop: () => this.wakeup.wake(),
     });
     void this.runHoldLoop();
@@ -84,6 +85,12 @@
     return (this.state === 'live' || this.state === 'silent') && this.isUsable;
   }
 
+  /** Whether the upstream has answered, but not listed all run ends yet. */
+  get isListingEnds(): boolean {
+    const answers = this.state === 'live' || this.state === 'silent';
+    return answers && !this.closed && !this.holds.hasCompleteList;
+  }
+
   private get isUsable(): boolean {
     return !this.record.leaving && !this.deregistered && !this.closed;
   }
@@ -176,7 +183,7 @@
   /** Sends one hold; returns whether the upstream listed its runs. */
   private async hold(waitMs: number): Promise<boolean> {
     const sentAt = performance.now();
-    const mayBeNew = this.starts.mayHaveStartedAfter(this.answeredHoldSentAt);
+    const mayBeNew = this.starts.mayHaveStartedAfter(this.holds.answeredSentAt);
     const acknowledged = mayBeNew ? 0 : this.endsCursor.positionToAcknowledge;
     let answer: HoldAnswer;
     try {
@@ -191,8 +198,7 @@
       if (!this.closed) this.handleHoldFailure(err);
       return false;
     }
-    if (this.closed) return answer.type === 'held';
-    this.answered(answer, sentAt);
+    if (!this.closed) this.answered(answer, sentAt);
     const isHeld = answer.type === 'held';
     if (isHeld && !this.closed) this.endsCursor.markAcknowledged(acknowledged);
     return isHeld;
@@ -243,17 +249,12 @@
       return events.otherProcess(this, startedAt);
     }
     this.lastContactAt = performance.now();
-    this.answeredHoldSentAt = Math.max(this.answeredHoldSentAt, sentAt);
+    this.holds.recordAnswer(sentAt);
     this.failedHolds = 0;
     this.observeClock(clockMs);
-    const wasFencing = this.state === 'fencing';
     if (this.state !== 'live') this.setContactState('live', 'answered');
     this.orders.forbidAbandonedRuns();
-    if (!this.runs.isOutdated(answer)) {
-      this.processEnds(answer.ends, clockMs);
-      this.compareActiveRuns(answer, sentAt);
-    }
-    if (wasFencing) events.fenced(this);
+    if (!this.runs.isOutdated(answer)) this.processLists(answer, sentAt);
     events.holdAnswered(this);
   }
 
@@ -263,28 +264,27 @@
     this.leaseClock ??= new LeaseClock(clockMs, now, this.options.leaseMs);
   }
 
-  private processEnds(all: readonly RunEnd[], clockMs: number): void {
-    const ends = this.endsCursor.takeNewEnds(all);
-    this.runs.applyEnds(ends, clockMs);
-    if (ends.length === 0) return;
-    this.commits.add(this.endsCursor.seenPosition, earlier =>
-      this.options.events.ended(this, ends, earlier),
-    );
-  }
-
-  private compareActiveRuns(
-    {active, clockMs}: Extract<HoldAnswer, {type: 'held'}>,
-    sentAt: number,
-  ): void {
+  private processLists(answer: HeldAnswer, sentAt: number): void {
+    this.processEnds(answer.ends, answer.clockMs);
     const {confirmed, untracked, absent} = this.runs.compareWithActive(
-      active,
+      answer,
       sentAt,
-      clockMs,
     );
     for (const run of confirmed) this.runs.confirmRun(run);
     this.untrackedRunCount = untracked.length;
     for (const each of untracked) this.options.events.runFound(this, each);
     for (const {run, cause} of absent) this.reportLostRun(run, cause);
+    const isFirst = !answer.moreEnds && this.holds.recordCompleteList(sentAt);
+    if (isFirst) this.options.events.fenced(this);
+  }
+
+  private processEnds(all: readonly RunEnd[], clockMs: number): void {
+    const ends = this.endsCursor.takeNewEnds(all);
+    this.runs.applyEnds(ends, clockMs);
+    if (ends.length === 0) return;
+    this.commits.add(this.endsCursor.seenPosition, earlier =>
+      this.options.events.ended(this, ends, earlier),
+    );
   }
 
   private reportLostRun(run: Run, cause: string): void {
--- a/packages/dispatch/src/upstreams/upstream_port.ts
+++ b/packages/dispatch/src/upstreams/upstream_port.ts
@@ -88,18 +88,22 @@
   readonly outcome: RunOutcome;
 }
 
+/** Lists of an upstream, in answer to a hold. */
+export interface HeldAnswer {
+  readonly type: 'held';
+  readonly clockMs: number;
+  /** Start time of the incarnation that answered, if reported. */
+  readonly startedAt: number | undefined;
+  readonly active: readonly ActiveRun[];
+  /** The oldest ends that are not acknowledged. */
+  readonly ends: readonly RunEnd[];
+  /** Whether further ends may follow once these are acknowledged. */
+  readonly moreEnds: boolean;
+}
+
 /** Answer to a hold. */
 export type HoldAnswer =
-  | {
-      readonly type: 'held';
-      readonly clockMs: number;
-      /** Start time of the incarnation that answered, if reported. */
-      readonly startedAt: number | undefined;
-      readonly active: readonly ActiveRun[];
-      readonly ends: readonly RunEnd[];
-    }
-  | {readonly type: 'superseded'}
-  | {readonly type: 'other-life'};
+  HeldAnswer | {readonly type: 'superseded'} | {readonly type: 'other-life'};
 
 /** An order got no answer and may take effect, now or later. */
 export class OrderUnansweredError extends MustardferryError {
--- a/packages/dispatch/src/warm_up/stand_in_port.ts
+++ b/packages/dispatch/src/warm_up/stand_in_port.ts
@@ -47,6 +47,7 @@
     if (this.ends.length === 0 && waitMs > 0) await this.waitForEnd(waitMs);
     return {
       type: 'held',
+      moreEnds: false,
       clockMs: performance.now(),
       startedAt: this.startedAt,
       active: [...this.runs.values()],
--- a/packages/dispatch/tests/fake_upstreams.ts
+++ b/packages/dispatch/tests/fake_upstreams.ts
@@ -54,6 +54,8 @@
   outcome: 'done' | 'failed' = 'done';
   delivery: (order: 'start' | 'stop' | 'hold') => Delivery = () => 'delivered';
   maxRuns = 2;
+  /** Most run ends in the answer to a hold. */
+  maxListedEnds = 500;
   private sequence = 0;
   private leaseUntil = 0;
   private leaseTimer: NodeJS.Timeout | undefined;
@@ -142,8 +144,10 @@
       run,
       percent: Math.floor(((performance.now() - from) * 100) / runMs),
     }));
-    const {clockMs, startedAt, ends} = this;
-    return {type: 'held', clockMs, startedAt, active, ends: [...ends]};
+    const {clockMs, startedAt, maxListedEnds} = this;
+    const ends = this.ends.slice(0, maxListedEnds);
+    const moreEnds = this.ends.length >= maxListedEnds;
+    return {type: 'held', clockMs, startedAt, active, ends, moreEnds};
   }
 
   private beginRun(order: StartOrder, key: string): void {
--- a/packages/dispatch/tests/owner/late_answers.test.ts
+++ b/packages/dispatch/tests/owner/late_answers.test.ts
@@ -94,6 +94,7 @@
       startedAt: 1,
       active: [],
       ends: [],
+      moreEnds: false,
       ...fields,
     });
     await clock.tickAsync(1);
--- a/packages/dispatch/tests/owner/run_orders.test.ts
+++ b/packages/dispatch/tests/owner/run_orders.test.ts
@@ -3,6 +3,7 @@
 import fakeTimers, {type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 
+import type {SessionEvents} from '../../src/owner/session_types.js';
 import {UpstreamSession} from '../../src/owner/upstream_session.js';
 import {
   type Delivery,
@@ -99,18 +100,22 @@
       if (order === 'hold') holds++;
       return 'delivered';
     };
-    session = new UpstreamSession({
+    session = openSession();
+    await clock.tickAsync(10);
+  });
+
+  function openSession(events: Partial<SessionEvents> = {}): UpstreamSession {
+    return new UpstreamSession({
       record: upstream.announcement(1),
       acknowledged: 0,
       clockMs: upstream.clockMs,
       token: 1,
       leaseMs: 700,
       port: new FakePort([upstream]),
-      events: NOOP_EVENTS,
+      events: {...NOOP_EVENTS, ...events},
       maySendOrders: () => maySendOrders,
     });
-    await clock.tickAsync(10);
-  });
+  }
 
   afterEach(() => {
     session.close();
@@ -169,4 +174,30 @@
     expect(stops).to.equal(1);
     expect(holds).to.equal(0);
   });
+
+  // Guards against tasks that run again after a refusal of their run number,
+  // while the end of the run that has used it is not listed yet.
+  it('that are refused as older runs count only after all ends are listed', async () => {
+    const seen: string[] = [];
+    session.close();
+    session = openSession({
+      ended: async (_, ends) => {
+        seen.push(...ends.map(({outcome}) => outcome));
+        return true;
+      },
+      startRefused: (_, reason) => void seen.push(reason),
+    });
+    await clock.tickAsync(10);
+    upstream.maxListedEnds = 2;
+    upstream.runMs = 1;
+    for (let index = 3; index >= 0; index--) {
+      const order = {token: 1, timeoutMs: 100, payload: '', run: 1};
+      const leaseUntil = upstream.clockMs + 500;
+      upstream.start({...order, task: {...TASK, index}, leaseUntil});
+      await clock.tickAsync(2);
+    }
+    void session.start(createRun(session, TASK));
+    await clock.tickAsync(1_000);
+    expect(seen).to.deep.equal(['done', 'done', 'done', 'done']);
+  });
 });
--- a/packages/dispatch/tests/owner/upstream_session.test.ts
+++ b/packages/dispatch/tests/owner/upstream_session.test.ts
@@ -27,7 +27,8 @@
       run: 1,
       outcome: 'done' as const,
     }));
-    return {type: 'held', clockMs: 1, startedAt: 1, active: [], ends};
+    const lists = {active: [], ends, moreEnds: false};
+    return {type: 'held', clockMs: 1, startedAt: 1, ...lists};
   }
 }
 
