Group waiting tasks by what they require of an upstream

Callers saw: stored jobs stayed queued for good with all suitable upstreams free, behind 24 or more tasks whose only upstream was lost, or that were larger than any upstream.

Cause: a pass skipped 24 tasks of a list without a placement, left the list, and began at the same head again in the next pass.

Change: tasks of a list are grouped by label, size and limit per upstream and offered by age across the groups. A task that no upstream can take ends the pass for its group only.

--- a/packages/dispatch/src/owner/ready_queue.ts
+++ b/packages/dispatch/src/owner/ready_queue.ts
@@ -1,5 +1,6 @@
 /** Queue of the tasks of one pool that wait for an upstream. */
 import type {OpenJob, OpenTask} from './job_table_types.js';
+import {TaskList, type VisitResult} from './task_list.js';
 
 /**
  * Time in ms that a job takes besides waiting and running: for its start, the
@@ -14,9 +15,6 @@
  */
 const USELESS_FACTOR = 4;
 
-/** Most tasks of one list that a pass skips before it goes to the next list. */
-const MAX_SKIPPED_TASKS = 24;
-
 /**
  * Least fraction of the declared run time that a run takes, as declared times
  * are off by about a third.
@@ -49,8 +47,10 @@
 /** Result of offering a task. */
 export type OfferResult =
   | 'placed'
-  /** No suitable upstream has enough free capacity. */
+  /** It waits for a better upstream than those with free capacity. */
   | 'skipped'
+  /** No upstream that meets its requirements has enough free capacity. */
+  | 'blocked'
   /** No upstream has free capacity for any task. */
   | 'full';
 
@@ -77,7 +77,7 @@
  * before jobs in time.
  */
 export class ReadyQueue {
-  private readonly bands: Record<LatenessBand, Map<number, OpenTask[]>> = {
+  private readonly bands: Record<LatenessBand, Map<number, TaskList>> = {
     'in-time': new Map(),
     underway: new Map(),
     late: new Map(),
@@ -125,17 +125,22 @@
     this.insert('in-time', task);
   }
 
-  /** Offers tasks in order until no upstream has free capacity. */
-  offerAll(pass: SchedulingPass): void {
+  /**
+   * Offers tasks in order until no upstream has free capacity; returns whether
+   * another pass should follow soon, as this one has left tasks out.
+   */
+  offerAll(pass: SchedulingPass): boolean {
     this.dropUseless(pass);
+    let needsAnother = false;
     for (const band of BANDS) {
-      const byPriority = this.bands[band];
-      const priorities = [...byPriority.keys()].sort((a, b) => a - b);
-      for (const priority of priorities) {
-        const list = byPriority.get(priority) ?? [];
-        if (!this.offerList(band, list, pass)) return;
+      const byPriority = [...this.bands[band]].sort(([a], [b]) => a - b);
+      for (const [, list] of byPriority) {
+        const visited = list.visit(task => this.offer(task, band, pass));
+        if (!visited.hasCapacity) return needsAnother;
+        needsAnother ||= visited.isIncomplete;
       }
     }
+    return needsAnother;
   }
 
   /**
@@ -145,64 +150,45 @@
   private dropUseless(pass: SchedulingPass): void {
     for (const band of ['underway', 'late'] as const) {
       for (const list of this.bands[band].values()) {
-        let taken = 0;
-        for (const task of list) {
+        list.removeOldest(task => {
           const isReady = task.phase === 'ready';
-          if (isReady && isStillUseful(task, band, pass)) break;
-          taken++;
+          if (isReady && isStillUseful(task, band, pass)) return false;
           this.leave(task);
           if (isReady && !pass.dropJob(task)) this.insert('useless', task);
-        }
-        list.splice(0, taken);
+          return true;
+        });
       }
     }
   }
 
-  private offerList(
+  private offer(
+    task: OpenTask,
     band: LatenessBand,
-    list: OpenTask[],
     pass: SchedulingPass,
-  ): boolean {
-    const kept: OpenTask[] = [];
-    let skipped = 0;
-    let taken = 0;
-    let hasCapacity = true;
-    while (hasCapacity && taken < list.length && skipped < MAX_SKIPPED_TASKS) {
-      const task = list[taken++];
-      if (!task) break;
-      if (task.phase !== 'ready') {
-        this.leave(task);
-        continue;
-      }
-      if (!pass.mayStart(task)) {
-        kept.push(task);
-        continue;
-      }
-      const newBand = findBand(task, pass);
-      if (BANDS.indexOf(newBand) > BANDS.indexOf(band)) {
-        this.leave(task);
-        if (newBand !== 'useless' || !pass.dropJob(task))
-          this.insert(newBand, task);
-        continue;
-      }
-      const result = pass.offer(task, band);
-      if (result === 'placed') {
-        this.leave(task);
-      } else {
-        skipped++;
-        kept.push(task);
-      }
-      hasCapacity = result !== 'full';
+  ): VisitResult {
+    if (task.phase !== 'ready') {
+      this.leave(task);
+      return 'removed';
+    }
+    if (!pass.mayStart(task)) return 'kept';
+    const newBand = findBand(task, pass);
+    if (BANDS.indexOf(newBand) > BANDS.indexOf(band)) {
+      this.leave(task);
+      if (newBand !== 'useless' || !pass.dropJob(task))
+        this.insert(newBand, task);
+      return 'removed';
     }
-    list.splice(0, taken, ...kept);
-    return hasCapacity;
+    const result = pass.offer(task, band);
+    if (result !== 'placed') return result;
+    this.leave(task);
+    return 'removed';
   }
 
   private insert(band: LatenessBand, task: OpenTask): void {
     const {priority} = task.job.queue;
-    const list = this.bands[band].get(priority);
-    if (list) list.push(task);
-    else this.bands[band].set(priority, [task]);
+    const list = this.bands[band].get(priority) ?? new TaskList();
+    this.bands[band].set(priority, list);
+    list.add(task);
     this.count++;
     // A requeued task may still be in the list in which it waited before.
     this.subtractWork(task);
--- a/packages/dispatch/src/owner/run_starter.ts
+++ b/packages/dispatch/src/owner/run_starter.ts
@@ -137,7 +137,7 @@
       pool.refresh(now);
       const search = {pool, now};
       const estimate = this.getEstimate(pool);
-      queue.offerAll({
+      const needsAnother = queue.offerAll({
         now,
         fastestTimeFactor: pool.fastestTimeFactor,
         mayStart: task => this.recoveryComplete || task.job.isNew,
@@ -148,7 +148,9 @@
           return estimate.canServeLate({...job, priority}, queue, now);
         },
       });
-      if (queue.size > 0 && pool.hasExcluded) this.scheduleRetry();
+      if (needsAnother || (queue.size > 0 && pool.hasExcluded)) {
+        this.scheduleRetry();
+      }
       this.options.activity.recordDuration('pass', performance.now() - now);
     }
   }
@@ -183,8 +185,9 @@
     if (isLate && pool.cpuUtilization > MAX_UTILIZATION_FOR_LATE) return 'full';
     const chosen = placement.chooseUpstream(task, search);
     if (!chosen) {
+      const avoidsUpstreams = task.avoidedUpstreams.length > 0;
       if (pool.availableCount <= SMALL_POOL_SIZE) task.avoidedUpstreams = [];
-      return 'skipped';
+      return avoidsUpstreams ? 'skipped' : 'blocked';
     }
     if (chosen.marginMs < 0 && couldEndInTime(task, search)) {
       return 'skipped';
--- a/packages/dispatch/tests/fake_upstreams.ts
+++ b/packages/dispatch/tests/fake_upstreams.ts
@@ -54,6 +54,7 @@
   outcome: 'done' | 'failed' = 'done';
   delivery: (order: 'start' | 'stop' | 'hold') => Delivery = () => 'delivered';
   maxRuns = 2;
+  labels: readonly string[] = [];
   /** Most run ends in the answer to a hold. */
   maxListedEnds = 500;
   private sequence = 0;
@@ -77,7 +78,7 @@
   }
 
   announcement(sequence: number, leaving = false): Announcement {
-    const {id, address, startedAt, clockMs} = this;
+    const {id, address, startedAt, clockMs, labels} = this;
     return {
       id,
       address,
@@ -90,7 +91,7 @@
       cpuMillis: this.maxRuns * 1_000,
       memoryMb: 1_000,
       accelerators: 0,
-      labels: [],
+      labels,
     };
   }
 
--- a/packages/dispatch/tests/owner/ready_queue.test.ts
+++ b/packages/dispatch/tests/owner/ready_queue.test.ts
@@ -1,77 +1,8 @@
 import {expect} from 'chai';
 
-import {JobTable} from '../../src/owner/job_table.js';
 import type {OpenTask} from '../../src/owner/job_table_types.js';
-import {
-  type LatenessBand,
-  type OfferResult,
-  ReadyQueue,
-} from '../../src/owner/ready_queue.js';
-import {QUEUE, step} from '../owner_harness.js';
-
-interface TaskOptions {
-  readonly priority?: number;
-  readonly receivedAt?: number;
-  readonly started?: boolean;
-  readonly tasks?: number;
-  readonly deadlineAt?: number;
-}
-
-function createTasks(
-  id: string,
-  options: TaskOptions = {},
-): readonly OpenTask[] {
-  const {priority = 0, receivedAt = 0, started = false, tasks = 1} = options;
-  const {deadlineAt = Infinity} = options;
-  const job = new JobTable().admit(
-    {
-      id,
-      payload: '',
-      steps: [step(tasks, {declaredMs: 100})],
-      durable: false,
-      queue: 'q',
-      pool: 'pool',
-      maxAttempts: 2,
-      admittedAt: 0,
-      term: 1,
-    },
-    // The objective is 2 * 100 + 60 ms.
-    {...QUEUE, priority},
-    {receivedAt, isNew: true, deadlineAt},
-    () => undefined,
-  );
-  job.started = started;
-  const created = job.tasks.flat();
-  // The tasks count in the job table's queue; each test adds them to its own.
-  for (const task of created) task.queuedBand = null;
-  return created;
-}
-
-function offerAll(
-  queue: ReadyQueue,
-  now: number,
-  result: (task: OpenTask) => OfferResult = () => 'placed',
-  drops = false,
-  servesLate = true,
-): string[] {
-  const seen: string[] = [];
-  queue.offerAll({
-    now,
-    fastestTimeFactor: 1,
-    mayStart: () => true,
-    offer: (task: OpenTask, band: LatenessBand) => {
-      seen.push(`${task.id.job} ${band}`);
-      return result(task);
-    },
-    dropJob: (task: OpenTask) => {
-      if (!drops) return false;
-      seen.push(`${task.id.job} dropped`);
-      return true;
-    },
-    canServeLate: () => servesLate,
-  });
-  return seen;
-}
+import {ReadyQueue} from '../../src/owner/ready_queue.js';
+import {createTasks, offerAll, type TaskOptions} from './queue_fixture.js';
 
 describe('ReadyQueue', () => {
   let queue: ReadyQueue;
