Let tasks avoid upstreams for a limited time

Callers saw: a stored job whose start was refused once by the only upstream with its label stayed queued for good, with that upstream healthy and free.

Cause: the upstreams that a task avoids had no expiry, and the rule that clears them counted the upstreams of the pool, not those that suit the task.

Change: an upstream is avoided for 250 ms after a refusal and for 1 s after a run that failed, was lost or slow. With up to four suitable upstreams a task without a placement waits 25 ms. Until then it is offered again every 25 ms.

--- a/packages/dispatch/src/owner/job_table_types.ts
+++ b/packages/dispatch/src/owner/job_table_types.ts
@@ -47,6 +47,14 @@
   /** Its last run has ended; no other follows. */
   | 'ended';
 
+/** An upstream that a task is kept off for a while. */
+export interface AvoidedUpstream {
+  /** Key of the incarnation. */
+  readonly key: string;
+  /** When the task may be offered to it again, by this process's clock. */
+  readonly until: number;
+}
+
 /** A task of an open job. */
 export interface OpenTask {
   readonly id: TaskId;
@@ -63,11 +71,8 @@
   lastRunNumber: number;
   /** Number of failed runs, committed or not. */
   failures: number;
-  /**
-   * Keys of the upstream incarnations to avoid, as runs of the task failed,
-   * were lost, slow or refused there.
-   */
-  avoidedUpstreams: string[];
+  /** Upstreams on which runs of the task failed, were lost, slow or refused. */
+  avoidedUpstreams: readonly AvoidedUpstream[];
 }
 
 /** When and how a job was submitted to this owner. */
--- a/packages/dispatch/src/owner/lost_runs.ts
+++ b/packages/dispatch/src/owner/lost_runs.ts
@@ -27,6 +27,12 @@
  */
 const REFUSAL_PAUSE_MS = 1;
 
+/**
+ * Time in ms for which a task avoids an upstream that has refused it, or was
+ * not reached: a few starts on other upstreams.
+ */
+const REFUSAL_AVOIDANCE_MS = 250;
+
 /**
  * Increment of a task's run number after an upstream refused the number as too
  * old.
@@ -78,7 +84,7 @@
     if (isFull) session.noRoomUntil = performance.now() + NO_ROOM_PAUSE_MS;
     if (reason === 'older-run') task.lastRunNumber += RUN_NUMBER_STEP;
     if (reason === 'unhealthy' || reason === 'not-sent') {
-      outcomes.avoidUpstream(task, session);
+      outcomes.avoidUpstream(task, session, REFUSAL_AVOIDANCE_MS);
     }
     if (task.run === run) jobTable.requeue(task);
     setTimeout(schedule, isFull ? NO_ROOM_PAUSE_MS : REFUSAL_PAUSE_MS);
--- a/packages/dispatch/src/owner/placement.ts
+++ b/packages/dispatch/src/owner/placement.ts
@@ -151,8 +151,10 @@
     if (!session.acceptsRuns || session.noRoomUntil > now) return 'no-task';
     const {allowance} = this.health.getStatus(key, now);
     if (runs.size >= allowance) return 'no-task';
-    if (!runs.capacityUse.fits(step) || avoidedUpstreams.includes(key))
-      return 'not-this-task';
+    const isAvoided = avoidedUpstreams.some(
+      avoided => avoided.key === key && avoided.until > now,
+    );
+    if (isAvoided || !runs.capacityUse.fits(step)) return 'not-this-task';
     if (step.label !== '' && !record.labels.includes(step.label)) {
       return 'not-this-task';
     }
--- a/packages/dispatch/src/owner/run_starter.ts
+++ b/packages/dispatch/src/owner/run_starter.ts
@@ -45,8 +45,8 @@
 const MAX_UTILIZATION_FOR_LATE = 0.85;
 
 /**
- * Pool size up to which a task without a placement stops avoiding upstreams, as
- * it may need all of them.
+ * Number of upstreams with the label of a task up to which it soon stops
+ * avoiding some when it has no placement, as it may need all of them.
  */
 const SMALL_POOL_SIZE = 4;
 
@@ -184,11 +184,7 @@
     const isLate = band !== 'in-time';
     if (isLate && pool.cpuUtilization > MAX_UTILIZATION_FOR_LATE) return 'full';
     const chosen = placement.chooseUpstream(task, search);
-    if (!chosen) {
-      const avoidsUpstreams = task.avoidedUpstreams.length > 0;
-      if (pool.availableCount <= SMALL_POOL_SIZE) task.avoidedUpstreams = [];
-      return avoidsUpstreams ? 'skipped' : 'blocked';
-    }
+    if (!chosen) return this.handleUnplaced(task, search);
     if (chosen.marginMs < 0 && couldEndInTime(task, search)) {
       return 'skipped';
     }
@@ -197,6 +193,24 @@
     return 'placed';
   }
 
+  /** Offers a task again that has no placement as it avoids upstreams. */
+  private handleUnplaced(
+    task: OpenTask,
+    {pool, now}: PlacementSearch,
+  ): OfferResult {
+    if (!task.avoidedUpstreams.some(({until}) => until > now)) return 'blocked';
+    const suitableCount = pool.getTree(task.step.label)?.size ?? 0;
+    if (suitableCount <= SMALL_POOL_SIZE) {
+      const latest = now + REFRESH_INTERVAL_MS;
+      task.avoidedUpstreams = task.avoidedUpstreams.map(({key, until}) => ({
+        key,
+        until: Math.min(until, latest),
+      }));
+    }
+    this.scheduleRetry();
+    return 'skipped';
+  }
+
   private getEstimate(pool: PoolIndex): ServiceEstimate {
     let estimate = this.estimates.get(pool);
     if (!estimate) {
--- a/packages/dispatch/src/owner/task_outcomes.ts
+++ b/packages/dispatch/src/owner/task_outcomes.ts
@@ -28,8 +28,11 @@
   ) => void;
 }
 
-/** Most upstreams that a task avoids; the oldest one is dropped first. */
-const MAX_AVOIDED_UPSTREAMS = 4;
+/**
+ * Time in ms for which a task avoids an upstream on which a run of it failed,
+ * was lost or slow. It ends, as no other upstream may suit the task.
+ */
+const AVOIDANCE_MS = 1_000;
 
 /**
  * Applies ends of runs to the job table and closes the jobs that have ended.
@@ -119,12 +122,17 @@
     }
   }
 
-  /** Keeps further runs of a task off an upstream. */
-  avoidUpstream(task: OpenTask, session: UpstreamSession): void {
-    if (task.avoidedUpstreams.includes(session.key)) return;
-    task.avoidedUpstreams = [...task.avoidedUpstreams, session.key].slice(
-      -MAX_AVOIDED_UPSTREAMS,
+  /** Keeps further runs of a task off an upstream for a time in ms. */
+  avoidUpstream(
+    task: OpenTask,
+    session: UpstreamSession,
+    ms = AVOIDANCE_MS,
+  ): void {
+    const now = performance.now();
+    const others = task.avoidedUpstreams.filter(
+      ({key, until}) => key !== session.key && until > now,
     );
+    task.avoidedUpstreams = [...others, {key: session.key, until: now + ms}];
   }
 
   private report(
--- a/packages/dispatch/tests/fake_upstreams.ts
+++ b/packages/dispatch/tests/fake_upstreams.ts
@@ -55,6 +55,8 @@
   delivery: (order: 'start' | 'stop' | 'hold') => Delivery = () => 'delivered';
   maxRuns = 2;
   labels: readonly string[] = [];
+  /** Whether it refuses all starts. */
+  unhealthy = false;
   /** Most run ends in the answer to a hold. */
   maxListedEnds = 500;
   private sequence = 0;
@@ -108,6 +110,7 @@
 
   start(order: StartOrder): StartAnswer {
     const {clockMs} = this;
+    if (this.unhealthy) return refused('unhealthy', clockMs);
     if (order.token < this.token) return refused('superseded', clockMs);
     this.token = order.token;
     const key = getTaskKey(order.task);
