Keep the sums of a job's work, so that no pass reads all its tasks

Callers saw: after the loss of a leader amid jobs of 330 tasks no task ran any more, and most calls got 503 or 504 for good.

Cause: a pass walked over all tasks of a job for each of its late tasks, n * n steps in one turn of the event loop, so that each new leader lost its quorum.

Change: JobTask keeps the sums of its job with each change of its phase. The end of a transient job and the recovery of one job read no other tasks either, and kept tasks are copied without a call that has them as arguments.

--- a/packages/dispatch/src/owner/call_handler.ts
+++ b/packages/dispatch/src/owner/call_handler.ts
@@ -217,8 +217,8 @@
     dispatcher.earlyEndJobs.delete(id);
     const record = state.jobs.get(id);
     if (record?.outcome !== 'open' || jobTable.job(id)) return;
-    jobTable.recover(record, queue, now, term);
-    if (dispatcher.isRecoveryComplete) jobTable.completeRecovery();
+    const job = jobTable.recover(record, queue, now, term);
+    if (dispatcher.isRecoveryComplete) jobTable.completeRecovery([job]);
     dispatcher.schedule();
   }
 
--- a/packages/dispatch/src/owner/job_table.ts
+++ b/packages/dispatch/src/owner/job_table.ts
@@ -4,13 +4,13 @@
 import {
   type AdmittedJob,
   computeCriticalPathMs,
-  getTaskKey,
   type JobProgress,
   type JobRequest,
   type Step,
   TASK_DONE,
 } from '../jobs/job_types.js';
 import type {Arrival, OpenJob, OpenTask, Run} from './job_table_types.js';
+import {JobTask} from './open_task.js';
 import {ReadyQueue} from './ready_queue.js';
 
 /**
@@ -83,7 +83,7 @@
     queue: QueueConfig,
     now: number,
     term: number,
-  ): void {
+  ): OpenJob {
     const receivedAt = now - Math.max(0, Date.now() - record.job.admittedAt);
     const arrival = {receivedAt, isNew: false, deadlineAt: Infinity};
     const job = this.create(record.job, queue, arrival, record.progress);
@@ -93,11 +93,12 @@
       if (task.phase === 'blocked') task.phase = 'unknown';
     }
     job.started = true;
+    return job;
   }
 
   /** Unblocks the recovered tasks that no upstream has listed as running. */
-  completeRecovery(): void {
-    for (const job of this.jobs.values()) {
+  completeRecovery(jobs: Iterable<OpenJob> = this.jobs.values()): void {
+    for (const job of jobs) {
       for (const task of job.tasks.flat()) {
         if (task.phase === 'unknown') task.phase = 'blocked';
       }
@@ -162,6 +163,8 @@
       ...computeExpectedTimes(admitted, queue),
       tasks,
       remaining: [],
+      work: {total: 0, waiting: 0},
+      exhausted: false,
       started: false,
       closed: false,
     };
@@ -208,18 +211,8 @@
   return Array.from({length: step.tasks}, (_, index) => {
     const id = {job: job.admitted.id, step: stepIndex, index};
     const failures = progress?.[index] ?? 0;
-    return {
-      id,
-      key: getTaskKey(id),
-      job,
-      step,
-      queuedBand: null,
-      phase: failures === TASK_DONE ? 'ended' : 'blocked',
-      run: null,
-      lastRunNumber: 0,
-      failures: Math.max(0, failures),
-      avoidedUpstreams: [],
-    };
+    const phase = failures === TASK_DONE ? 'ended' : 'blocked';
+    return new JobTask(id, job, step, phase, Math.max(0, failures));
   });
 }
 
--- a/packages/dispatch/src/owner/job_table_types.ts
+++ b/packages/dispatch/src/owner/job_table_types.ts
@@ -85,6 +85,13 @@
   readonly deadlineAt: number;
 }
 
+/** Work of a job, as declared. */
+export interface JobWork {
+  total: number;
+  /** Work of the tasks that have no run in progress and have not ended. */
+  waiting: number;
+}
+
 /** An open job. */
 export interface OpenJob extends Arrival {
   readonly admitted: AdmittedJob;
@@ -96,6 +103,10 @@
   readonly tasks: readonly (readonly OpenTask[])[];
   /** Number of tasks not done, by step. */
   readonly remaining: number[];
+  /** Sums over its tasks; see `computeWork`. */
+  readonly work: JobWork;
+  /** Whether a task has failed as often as it may. */
+  exhausted: boolean;
   /** Whether an upstream may have begun a task. */
   started: boolean;
   closed: boolean;
--- a/packages/dispatch/src/owner/ready_queue.ts
+++ b/packages/dispatch/src/owner/ready_queue.ts
@@ -246,13 +246,6 @@
   return isUseless ? 'useless' : 'late';
 }
 
-function isMostlyStarted({tasks}: OpenJob): boolean {
-  let total = 0;
-  let waiting = 0;
-  for (const task of tasks.flat()) {
-    const {phase} = task;
-    total += computeWork(task);
-    if (phase !== 'active' && phase !== 'ended') waiting += computeWork(task);
-  }
-  return waiting < LATE_VALUE * total;
+function isMostlyStarted({work}: OpenJob): boolean {
+  return work.waiting < LATE_VALUE * work.total;
 }
--- a/packages/dispatch/src/owner/task_list.ts
+++ b/packages/dispatch/src/owner/task_list.ts
@@ -161,7 +161,8 @@
     const stopped = last?.skipped === MAX_SKIPPED_TASKS && !isAtEnd;
     this.group.resumeAt = stopped ? last.to - removed : 0;
     for (const {from, to, kept} of [...this.stretches].reverse()) {
-      entries.splice(from, to - from, ...kept);
+      kept.forEach((entry, n) => (entries[from + n] = entry));
+      entries.splice(from + kept.length, to - from - kept.length);
     }
   }
 
--- a/packages/dispatch/src/owner/task_outcomes.ts
+++ b/packages/dispatch/src/owner/task_outcomes.ts
@@ -101,11 +101,9 @@
    */
   endTransientJob(job: OpenJob): void {
     if (job.closed) return;
-    const {id, maxAttempts} = job.admitted;
-    const tasks = job.tasks.flat();
-    const failed = tasks.some(({failures}) => failures >= maxAttempts);
-    if (!failed && job.remaining.some(count => count > 0)) return;
-    const state = failed ? 'failed' : 'completed';
+    const {id} = job.admitted;
+    if (!job.exhausted && job.remaining.some(count => count > 0)) return;
+    const state = job.exhausted ? 'failed' : 'completed';
     this.reportJobEnd(job, state);
     this.stopRuns(this.options.jobTable.closeJob(id));
     this.options.onTransientJobEnd(id, state);
@@ -192,10 +190,12 @@
     run: Run | null,
     session: UpstreamSession,
   ): void {
+    const {job} = task;
     task.failures++;
+    job.exhausted ||= task.failures >= job.admitted.maxAttempts;
     this.avoidUpstream(task, session);
     if (!run) return;
-    if (task.failures < task.job.admitted.maxAttempts) {
+    if (task.failures < job.admitted.maxAttempts) {
       this.options.jobTable.requeue(task);
       return;
     }
--- a/packages/dispatch/tests/owner/task_list.test.ts
+++ b/packages/dispatch/tests/owner/task_list.test.ts
@@ -79,4 +79,25 @@
       'c in-time',
     ]);
   });
+
+  // Guards against a leader that blocks its event loop, and loses its quorum,
+  // as each task of a recovered job reads all tasks of that job.
+  it('reads no other tasks of a job to place one of them', () => {
+    const tasks = createTasks('large', {tasks: 500, started: true});
+    const [first] = tasks;
+    if (!first) throw new Error('no task');
+    const all = first.job.tasks;
+    let reads = 0;
+    Object.defineProperty(first.job, 'tasks', {
+      get: () => {
+        reads++;
+        return all;
+      },
+    });
+    for (const task of tasks) queue.add(task);
+    offerAll(queue, 200, () => 'blocked');
+    offerAll(queue, 201);
+    expect(queue.size).to.equal(0);
+    expect(reads).to.equal(0);
+  });
 });
