Count recovered jobs without a run as not started

Callers saw: `pending` was 0 after a change of the leader, with accepted jobs of which no task had begun; the jobs were shown as running.

Cause: JobTable.recover marks each job as started, as its tasks may be running, and nothing corrected that. Evidence: the new case of owner_restarts.test.ts counts 0 in place of 3 without the change.

Change: when the recovery is complete, a job of which no task is listed, ended or failed counts as not started.

--- a/packages/dispatch/src/owner/job_table.ts
+++ b/packages/dispatch/src/owner/job_table.ts
@@ -76,7 +76,7 @@
 
   /**
    * Adds a job that an earlier leader admitted; its tasks may be running on an
-   * upstream.
+   * upstream. It counts as started until the recovery is complete.
    */
   recover(
     record: JobRecord,
@@ -99,9 +99,12 @@
   /** Unblocks the recovered tasks that no upstream has listed as running. */
   completeRecovery(jobs: Iterable<OpenJob> = this.jobs.values()): void {
     for (const job of jobs) {
-      for (const task of job.tasks.flat()) {
-        if (task.phase === 'unknown') task.phase = 'blocked';
+      const tasks = job.tasks.flat();
+      const unlisted = tasks.filter(({phase}) => phase === 'unknown');
+      if (unlisted.length === tasks.length) {
+        job.started = tasks.some(({failures}) => failures > 0);
       }
+      for (const task of unlisted) task.phase = 'blocked';
       this.unblock(job);
     }
   }
--- a/packages/dispatch/tests/owner/owner_restarts.test.ts
+++ b/packages/dispatch/tests/owner/owner_restarts.test.ts
@@ -67,4 +67,25 @@
     expect(performance.now() - from).to.be.at.most(180);
     expect(lost).to.equal(1);
   });
+
+  // Guards against a count of waiting jobs that drops to 0 with each change of
+  // the owner.
+  it('counts recovered jobs of which no task has started as pending', async () => {
+    await setUp(1);
+    harness.upstream(0).runMs = 20_000;
+    const submitted = ['a', 'b', 'c', 'd', 'e'].map(id =>
+      harness.submitDurable(id),
+    );
+    await harness.waitFor(Promise.all(submitted));
+    const readPending = () =>
+      harness.call({type: 'state', host: 'host', path: '/q/'});
+    const before = await readPending();
+    expect(before).to.deep.equal({type: 'pending', count: 3});
+    harness.kill();
+    await harness.startOwner();
+    await harness.advanceClock(1_000);
+    expect(await readPending()).to.deep.equal(before);
+    expect(await harness.getJobState('a')).to.equal('running');
+    expect(await harness.getJobState('e')).to.equal('queued');
+  });
 });
