Bring back an upstream that is heard after it was deregistered

Callers saw: jobs that need the label of an upstream never ran after a late deregistration of its earlier incarnation reached the next one.

Cause: a deregistration names no incarnation; the one that was known counted as departed, and all its announcements were ignored.

Change: the state keeps the sequence number and a clock reading of the upstream at its deregistration. An announcement that is newer by both, and doesn't say that it leaves, brings it back.

--- a/packages/dispatch/src/jobs/commands.ts
+++ b/packages/dispatch/src/jobs/commands.ts
@@ -13,15 +13,30 @@
   readonly outcome: 'done' | 'failed';
 }
 
+/** Announcements of an upstream up to a moment. */
+export interface HeardUpstream {
+  /** Sequence number of the newest one. */
+  readonly sequence: number;
+  /** Reading of the upstream's clock at that moment. */
+  readonly clockMs: number;
+}
+
 /** A change to the replicated state. */
 export type Command =
   | {readonly type: 'configure'; readonly configuration: Configuration}
-  | {readonly type: 'upstream'; readonly upstream: UpstreamRecord}
+  | {
+      readonly type: 'upstream';
+      readonly upstream: UpstreamRecord;
+      /** Whether it was heard again after it counted as having left. */
+      readonly returned?: boolean;
+    }
   | {
       readonly type: 'forget-upstream';
       readonly life: UpstreamIncarnation;
       /** Whether it left at its own request, and not because it is silent. */
       readonly left?: boolean;
+      /** What it had announced when it left, if known. */
+      readonly heard?: HeardUpstream;
     }
   | {readonly type: 'submit'; readonly job: AdmittedJob}
   | {readonly type: 'cancel'; readonly job: string; readonly at: number}
--- a/packages/dispatch/src/jobs/dispatch_state.ts
+++ b/packages/dispatch/src/jobs/dispatch_state.ts
@@ -8,13 +8,14 @@
 import {pack, unpack} from 'msgpackr';
 
 import type {
+  Announcement,
   UpstreamIncarnation,
-  UpstreamRecord,
 } from '../upstreams/upstream_types.js';
 import type {
   Command,
   CommandResult,
   CountedRunEnd,
+  HeardUpstream,
   JobRecord,
   UpstreamEntry,
 } from './commands.js';
@@ -37,7 +38,11 @@
   readonly jobs: readonly JobRecord[];
   readonly earlyEnds: readonly CountedRunEnd[];
   /** Absent in snapshots of earlier programs. */
-  readonly departed?: readonly UpstreamIncarnation[];
+  readonly departed?: readonly DepartedUpstream[];
+}
+
+interface DepartedUpstream extends UpstreamIncarnation {
+  readonly heard?: HeardUpstream;
 }
 
 const COMMAND_DONE: CommandResult = {type: 'done'};
@@ -48,8 +53,8 @@
   private readonly upstreamsById = new Map<string, UpstreamEntry>();
   private readonly jobsById = new Map<string, JobRecord>();
   private earlyEnds: CountedRunEnd[] = [];
-  /** Start times of the incarnations that have left, by id. */
-  private readonly departed = new Map<string, number>();
+  /** Newest incarnations that have left, by id. */
+  private readonly departed = new Map<string, DepartedUpstream>();
 
   get queues(): QueueTable | null {
     return this.queueTable;
@@ -65,7 +70,20 @@
 
   /** Whether an incarnation has left; a later one of its id has not. */
   hasLeft({id, startedAt}: UpstreamIncarnation): boolean {
-    return startedAt <= (this.departed.get(id) ?? -Infinity);
+    return startedAt <= (this.departed.get(id)?.startedAt ?? -Infinity);
+  }
+
+  /**
+   * Whether an upstream has sent an announcement after it counted as having
+   * left. Its deregistration was then one of an earlier incarnation that
+   * arrived late, as deregistrations don't name an incarnation.
+   */
+  hasReturned(announcement: Announcement): boolean {
+    const {id, startedAt, leaving, sequence, clockMs} = announcement;
+    const departed = this.departed.get(id);
+    const heard = departed?.heard;
+    if (!heard || leaving || departed.startedAt !== startedAt) return false;
+    return sequence > heard.sequence && clockMs > heard.clockMs;
   }
 
   /** Run ends of a job that were committed before its admission. */
@@ -78,7 +96,7 @@
       case 'configure':
         return this.configure(command.configuration);
       case 'upstream':
-        return this.setUpstream(command.upstream);
+        return this.setUpstream(command);
       case 'forget-upstream':
         return this.forgetUpstream(command);
       case 'submit':
@@ -101,7 +119,7 @@
       upstreams: [...this.upstreamsById.values()],
       jobs: [...this.jobsById.values()],
       earlyEnds: this.earlyEnds,
-      departed: [...this.departed].map(([id, startedAt]) => ({id, startedAt})),
+      departed: [...this.departed.values()],
     };
     return pack(content);
   }
@@ -118,9 +136,7 @@
     for (const record of content.jobs) this.jobsById.set(record.job.id, record);
     this.earlyEnds = [...content.earlyEnds];
     this.departed.clear();
-    for (const {id, startedAt} of content.departed ?? []) {
-      this.departed.set(id, startedAt);
-    }
+    for (const each of content.departed ?? []) this.departed.set(each.id, each);
   }
 
   private configure(configuration: Configuration): CommandResult {
@@ -131,7 +147,11 @@
     return {type: 'revision', revision: Math.max(held, configuration.revision)};
   }
 
-  private setUpstream(record: UpstreamRecord): CommandResult {
+  private setUpstream({
+    upstream: record,
+    returned = false,
+  }: Extract<Command, {type: 'upstream'}>): CommandResult {
+    if (returned) this.departed.delete(record.id);
     const known = this.upstreamsById.get(record.id);
     if (known && known.record.startedAt > record.startedAt) return COMMAND_DONE;
     const isSameIncarnation = known?.record.startedAt === record.startedAt;
@@ -143,12 +163,17 @@
   private forgetUpstream({
     life: {id, startedAt},
     left = false,
+    heard,
   }: Extract<Command, {type: 'forget-upstream'}>): CommandResult {
     const known = this.upstreamsById.get(id)?.record.startedAt;
     if (known === startedAt) this.upstreamsById.delete(id);
     if (!left) return COMMAND_DONE;
     this.departed.delete(id);
-    this.departed.set(id, startedAt);
+    this.departed.set(id, {
+      id,
+      startedAt,
+      ...(heard ? {heard} : {}),
+    });
     const [oldest] = this.departed.keys();
     if (oldest !== undefined && this.departed.size > MAX_DEPARTED) {
       this.departed.delete(oldest);
--- a/packages/dispatch/src/owner/session_registry.ts
+++ b/packages/dispatch/src/owner/session_registry.ts
@@ -1,6 +1,7 @@
 /** Registers upstreams from their announcements. */
 import type {Logger} from '@mustardferry/runtime';
 
+import type {HeardUpstream} from '../jobs/commands.js';
 import type {DispatchState} from '../jobs/dispatch_state.js';
 import type {UpstreamPort} from '../upstreams/upstream_port.js';
 import {
@@ -26,12 +27,20 @@
   readonly maySendOrders: () => boolean;
 }
 
+interface ClockReading {
+  readonly clockMs: number;
+  /** When the announcement arrived, by this process's clock in ms. */
+  readonly at: number;
+}
+
 /** Time without contact after which an upstream without runs is removed. */
 const INACTIVE_TIMEOUT_MS = 15_000;
 
 /** Keeps one session for each registered upstream. */
 export class SessionRegistry {
   private readonly sessions = new Map<string, UpstreamSession>();
+  /** Clocks of the upstreams in their newest announcements. */
+  private readonly clockReadings = new WeakMap<UpstreamSession, ClockReading>();
 
   constructor(private readonly options: SessionRegistryOptions) {}
 
@@ -55,7 +64,8 @@
     const {state, propose, logger} = this.options;
     const record = toUpstreamRecord(announcement);
     const known = state.upstreams.get(record.id)?.record;
-    const reason = this.findReasonToIgnore(record);
+    const returned = state.hasReturned(announcement);
+    const reason = returned ? null : this.findReasonToIgnore(record);
     if (reason !== null) {
       logger.info('announcement-ignored', {
         upstream: record.id,
@@ -70,13 +80,15 @@
     if (current && announcement.sequence <= current.sequence) return;
     if (current) {
       current.sequence = announcement.sequence;
-      current.observeAnnouncement(announcement.clockMs);
+      this.observeClock(current, announcement);
       // Applied before the commit, so that no start follows the reply.
       if (record.leaving)
         current.updateRecord({...current.record, leaving: true});
     }
     if (known && areRecordsEqual(known, record)) return;
-    await propose({type: 'upstream', upstream: record});
+    if (returned) logger.warn('upstream-returned', {upstream: record.id});
+    const mark = returned ? {returned} : {};
+    await propose({type: 'upstream', upstream: record, ...mark});
     this.applyAnnouncement(announcement);
   }
 
@@ -95,7 +107,23 @@
     const session = this.sessions.get(id);
     if (session) session.deregistered = true;
     this.options.logger.info('upstream-left', {upstream: id});
-    await this.forgetUpstream(known, true);
+    const heard = session && this.findHeard(session);
+    await this.forgetUpstream(known, {left: true, ...(heard ? {heard} : {})});
+  }
+
+  private findHeard(session: UpstreamSession): HeardUpstream | undefined {
+    const reading = this.clockReadings.get(session);
+    if (!reading) return undefined;
+    const clockMs = reading.clockMs + performance.now() - reading.at;
+    return {sequence: session.sequence, clockMs};
+  }
+
+  private observeClock(
+    session: UpstreamSession,
+    {clockMs}: Announcement,
+  ): void {
+    session.observeAnnouncement(clockMs);
+    this.clockReadings.set(session, {clockMs, at: performance.now()});
   }
 
   /**
@@ -140,6 +168,7 @@
     const session = this.sessions.get(record.id);
     if (session && session.key === upstreamKey(record)) {
       session.updateRecord(record);
+      session.deregistered = this.options.state.hasLeft(record);
       this.options.dispatcher.schedule();
       return;
     }
@@ -147,6 +176,7 @@
     this.closeOlderSessionsAtAddress(record);
     const opened = this.open(record, 0, announcement.clockMs);
     opened.sequence = announcement.sequence;
+    this.observeClock(opened, announcement);
     if (session)
       this.closeSession(session, 'a new incarnation announced itself', opened);
   }
@@ -218,12 +248,12 @@
 
   private async forgetUpstream(
     {id, startedAt}: UpstreamRecord,
-    left = false,
+    departure: {readonly left?: boolean; readonly heard?: HeardUpstream} = {},
   ): Promise<void> {
     await this.options.propose({
       type: 'forget-upstream',
       life: {id, startedAt},
-      ...(left ? {left} : {}),
+      ...departure,
     });
   }
 }
--- a/packages/dispatch/tests/owner/departed_upstreams.test.ts
+++ b/packages/dispatch/tests/owner/departed_upstreams.test.ts
@@ -63,6 +63,30 @@
     });
   }
 
+  // Guards against an upstream that is barred for good by a deregistration of
+  // its earlier incarnation, which arrives after it has started again.
+  for (const isRestarted of [false, true]) {
+    it(`uses one again that announces itself after a late deregistration (change of the owner: ${isRestarted})`, async () => {
+      harness.upstream(0).restart();
+      await harness.announce(harness.upstream(0));
+      await harness.waitFor(harness.call({type: 'leave', id: 'u0'}));
+      if (isRestarted) await changeOwner();
+      else await harness.advanceClock(1_500);
+      await harness.announce(harness.upstream(0));
+      await harness.advanceClock(100);
+      expect(await isUsed()).to.equal(true);
+    });
+  }
+
+  it('does not use one that announces after its deregistration that it leaves', async () => {
+    await harness.announce(harness.upstream(0), true);
+    await harness.waitFor(harness.call({type: 'leave', id: 'u0'}));
+    await harness.advanceClock(1_500);
+    await harness.announce(harness.upstream(0), true);
+    await harness.advanceClock(100);
+    expect(await isUsed()).to.equal(false);
+  });
+
   it('uses the next incarnation of one that has left', async () => {
     await harness.waitFor(harness.call({type: 'leave', id: 'u0'}));
     await harness.advanceClock(2_000);
