Wait for leases that orders to an earlier incarnation granted

Callers saw: a task ran on two upstreams at a time, after the first one had restarted under its id and then fell silent.

Cause: runs move to the session of the next incarnation, which a start order to the earlier one may still reach; its lease clock knew of its own leases only and took them as over too soon.

Change: with a moved run the session expects the longest lease that an upstream grants, whether it has read the new clock or not.

--- a/packages/dispatch/src/owner/owner.ts
+++ b/packages/dispatch/src/owner/owner.ts
@@ -122,14 +122,12 @@
       dispatcher,
       token: term,
       leaseMs,
+      maxLeaseMs: options.leaseMs,
       port: new MeasuredPort(new StartTimeoutPort(port), activity),
     });
     const {sessionRegistry} = this;
-    this.callHandler = new CallHandler({
-      ...shared,
-      dispatcher,
-      sessionRegistry,
-    });
+    const handled = {...shared, dispatcher, sessionRegistry};
+    this.callHandler = new CallHandler(handled);
     this.startTerm();
   }
 
--- a/packages/dispatch/src/owner/run_orders.ts
+++ b/packages/dispatch/src/owner/run_orders.ts
@@ -19,7 +19,7 @@
   readonly session: UpstreamSession;
   readonly options: SessionOptions;
   readonly runs: RunTable;
-  readonly leaseClock: () => LeaseClock | null;
+  readonly leaseClock: LeaseClock;
   /** Whether the session is closed, or its leases expired. */
   readonly hasEnded: () => boolean;
   /** Sends a hold that the upstream answers without waiting for an end. */
@@ -42,7 +42,7 @@
     runs.add(run);
     wakeHoldLoop();
     const {task, number} = run;
-    const leaseUntil = leaseClock()?.grantLease(performance.now()) ?? 0;
+    const leaseUntil = leaseClock.grantLease(performance.now()) ?? 0;
     let answer: StartAnswer;
     try {
       answer = await options.port.start(session.record, {
@@ -101,7 +101,7 @@
       return;
     }
     if (answer.clockMs !== undefined) {
-      leaseClock()?.observeReading(answer.clockMs, performance.now());
+      leaseClock.observeReading(answer.clockMs, performance.now());
     }
     if (answer.type === 'refused') {
       if (answer.reason === 'older-run') void this.refuseOlderRun(run);
--- a/packages/dispatch/src/owner/session_registry.ts
+++ b/packages/dispatch/src/owner/session_registry.ts
@@ -24,6 +24,7 @@
   readonly logger: Logger;
   readonly token: number;
   readonly leaseMs: number;
+  readonly maxLeaseMs: number;
   readonly maySendOrders: () => boolean;
 }
 
@@ -201,17 +202,13 @@
     acknowledged: number,
     clockMs: number | undefined,
   ): UpstreamSession {
-    const {dispatcher, port, token, leaseMs, maySendOrders, logger} =
-      this.options;
+    const {dispatcher, logger} = this.options;
     const session = new UpstreamSession({
+      ...this.options,
       record,
       acknowledged,
       clockMs,
-      token,
-      leaseMs,
-      port,
       events: dispatcher,
-      maySendOrders,
     });
     this.sessions.set(record.id, session);
     dispatcher.addSession(session);
--- a/packages/dispatch/src/owner/session_types.ts
+++ b/packages/dispatch/src/owner/session_types.ts
@@ -64,8 +64,10 @@
   /** A reading of its clock; undefined after a change of the leader. */
   readonly clockMs: number | undefined;
   readonly token: number;
-  /** Longest lease in milliseconds. */
+  /** Longest lease that this owner grants, in milliseconds. */
   readonly leaseMs: number;
+  /** Length in ms to which the upstream shortens a lease. */
+  readonly maxLeaseMs: number;
   readonly port: UpstreamPort;
   readonly events: SessionEvents;
   /** Whether this process may send orders now. */
--- a/packages/dispatch/src/owner/upstream_session.ts
+++ b/packages/dispatch/src/owner/upstream_session.ts
@@ -38,7 +38,7 @@
   private readonly orders: RunOrders;
   private readonly wakeup = new Wakeup();
   private state: Contact = 'fencing';
-  private leaseClock: LeaseClock | null;
+  private readonly leaseClock: LeaseClock;
   private failedHolds = 0;
   private readonly endsCursor: EndsCursor;
   private untrackedRunCount = 0;
@@ -50,20 +50,18 @@
   private closed = false;
 
   constructor(private readonly options: SessionOptions) {
-    const {record, clockMs, leaseMs, acknowledged} = options;
+    const {record, clockMs, acknowledged} = options;
     this.record = record;
     this.key = upstreamKey(record);
     this.runs = new RunTable(record);
     this.endsCursor = new EndsCursor(acknowledged);
-    this.leaseClock =
-      clockMs === undefined
-        ? null
-        : new LeaseClock(clockMs, performance.now(), leaseMs);
+    this.leaseClock = new LeaseClock(options.leaseMs);
+    if (clockMs !== undefined) this.observeClock(clockMs);
     this.orders = new RunOrders({
       session: this,
       options,
       runs: this.runs,
-      leaseClock: () => this.leaseClock,
+      leaseClock: this.leaseClock,
       hasEnded: () => this.closed || this.state === 'lost',
       holdNow: () => this.holdNow(),
       holds: this.holds,
@@ -119,8 +117,10 @@
     return run.task.job.admitted.durable ? this.starts.track(order) : order();
   }
 
-  /** Adds a run that may have been started, and determines whether it was. */
+  /** Determines whether an order to an earlier incarnation started a run. */
   verifyRun(run: Run): Promise<void> {
+    const {maxLeaseMs} = this.options;
+    this.leaseClock.expectEarlierLease(performance.now(), maxLeaseMs);
     this.adoptRun(run);
     return this.orders.verifyRun(run);
   }
@@ -208,8 +208,9 @@
   private createLeaseExtension(now: number): {readonly leaseUntil?: number} {
     const lost =
       this.state !== 'fencing' && this.failedHolds >= MAX_FAILED_HOLDS;
-    if (!this.leaseClock || this.deregistered || lost) return {};
-    return {leaseUntil: this.leaseClock.grantLease(now)};
+    if (this.deregistered || lost) return {};
+    const leaseUntil = this.leaseClock.grantLease(now);
+    return leaseUntil === undefined ? {} : {leaseUntil};
   }
 
   private handleHoldFailure(err: unknown): void {
@@ -226,7 +227,7 @@
       return Promise.race([sleep(lostRetryPauseMs), this.wakeup.wait()]);
     }
     if (this.failedHolds < MAX_FAILED_HOLDS) return;
-    const left = (this.leaseClock?.allExpiredAt ?? 0) - performance.now();
+    const left = this.leaseClock.allExpiredAt - performance.now();
     if (this.state === 'silent' && left <= 0) this.abandonRuns();
     else await sleep(Math.max(1, Math.min(SESSION_TIMING.retryPauseMs, left)));
   }
@@ -259,9 +260,7 @@
   }
 
   private observeClock(clockMs: number): void {
-    const now = performance.now();
-    this.leaseClock?.observeReading(clockMs, now);
-    this.leaseClock ??= new LeaseClock(clockMs, now, this.options.leaseMs);
+    this.leaseClock.observeReading(clockMs, performance.now());
   }
 
   private processLists(answer: HeldAnswer, sentAt: number): void {
--- a/packages/dispatch/tests/owner/late_answers.test.ts
+++ b/packages/dispatch/tests/owner/late_answers.test.ts
@@ -56,6 +56,7 @@
       clockMs: 1_000,
       token: 1,
       leaseMs: 700,
+      maxLeaseMs: 1_000,
       port,
       events: {
         ...NOOP_EVENTS,
--- a/packages/dispatch/tests/owner/run_orders.test.ts
+++ b/packages/dispatch/tests/owner/run_orders.test.ts
@@ -111,6 +111,7 @@
       clockMs: upstream.clockMs,
       token: 1,
       leaseMs: 700,
+      maxLeaseMs: 1_000,
       port: new FakePort([upstream]),
       events: {...NOOP_EVENTS, ...events},
       maySendOrders: () => maySendOrders,
@@ -200,4 +201,18 @@
     await clock.tickAsync(1_000);
     expect(seen).to.deep.equal(['done', 'done', 'done', 'done']);
   });
+
+  // Guards against a task that is started elsewhere while an order to the
+  // earlier incarnation of its silent upstream keeps its run alive.
+  it('of runs that moved to the next incarnation wait for their leases', async () => {
+    let lostAt = Infinity;
+    session.close();
+    session = openSession({runLost: () => void (lostAt = performance.now())});
+    await clock.tickAsync(10);
+    upstream.delivery = () => 'lost';
+    const movedAt = performance.now();
+    void session.verifyRun(createRun(session, TASK));
+    await clock.tickAsync(5_000);
+    expect(lostAt - movedAt).to.be.within(1_000, 2_000);
+  });
 });
--- a/packages/dispatch/tests/owner/upstream_session.test.ts
+++ b/packages/dispatch/tests/owner/upstream_session.test.ts
@@ -69,6 +69,7 @@
       clockMs: 1,
       token: 1,
       leaseMs: 700,
+      maxLeaseMs: 1_000,
       port,
       events,
       maySendOrders: () => true,
