Keep an upstream deregistered while its last change is committed

Callers saw: found on reading the change that brings upstreams back. An upstream that had left could get tasks again.

Cause: a committed announcement set the session's mark from the state, in which a deregistration that was proposed meanwhile was not committed yet. Evidence: the new case of departed_upstreams.test.ts fails without the change.

Change: only an announcement that brings the upstream back clears it.

--- a/packages/dispatch/src/owner/session_registry.ts
+++ b/packages/dispatch/src/owner/session_registry.ts
@@ -90,6 +90,7 @@
     if (returned) logger.warn('upstream-returned', {upstream: record.id});
     const mark = returned ? {returned} : {};
     await propose({type: 'upstream', upstream: record, ...mark});
+    if (returned && current) current.deregistered = false;
     this.applyAnnouncement(announcement);
   }
 
@@ -169,7 +170,6 @@
     const session = this.sessions.get(record.id);
     if (session && session.key === upstreamKey(record)) {
       session.updateRecord(record);
-      session.deregistered = this.options.state.hasLeft(record);
       this.options.dispatcher.schedule();
       return;
     }
--- a/packages/dispatch/tests/owner/departed_upstreams.test.ts
+++ b/packages/dispatch/tests/owner/departed_upstreams.test.ts
@@ -78,6 +78,21 @@
     });
   }
 
+  // Guards against an announcement that is committed while the upstream leaves,
+  // and would take back that its session is deregistered.
+  it('does not use one whose last change is committed while it leaves', async () => {
+    const upstream = harness.upstream(0);
+    upstream.labels = ['changed'];
+    const announced = harness.call({
+      type: 'announce',
+      upstream: upstream.announcement(2),
+    });
+    await harness.advanceClock(1);
+    const left = harness.call({type: 'leave', id: 'u0'});
+    await harness.waitFor(Promise.all([announced, left]));
+    expect(await isUsed()).to.equal(false);
+  });
+
   it('does not use one that announces after its deregistration that it leaves', async () => {
     await harness.announce(harness.upstream(0), true);
     await harness.waitFor(harness.call({type: 'leave', id: 'u0'}));
