Replicate which data centres operators have evacuated

Cause: operators of a platform can ask that no task starts in a data centre, and nothing in the replicated state could hold such an order. No effect on dispatch yet.

--- a/packages/dispatch/src/jobs/commands.ts
+++ b/packages/dispatch/src/jobs/commands.ts
@@ -4,6 +4,7 @@
   UpstreamRecord,
 } from '../upstreams/upstream_types.js';
 import type {Configuration} from './configuration.js';
+import type {EvacuationChange, EvacuationRecord} from './evacuations.js';
 import type {AdmittedJob, JobProgress, JobState, TaskId} from './job_types.js';
 
 /** A run end that counts toward the progress of its job. */
@@ -48,6 +49,7 @@
       readonly upTo: number;
       readonly ends: readonly CountedRunEnd[];
     }
+  | ({readonly type: 'evacuate'} & EvacuationChange)
   /** Removes jobs that ended before a time in epoch milliseconds. */
   | {readonly type: 'expire'; readonly before: number};
 
@@ -55,7 +57,13 @@
 export type CommandResult =
   | {readonly type: 'done'}
   | {readonly type: 'revision'; readonly revision: number}
-  | {readonly type: 'job'; readonly state: JobState | 'unknown'};
+  | {readonly type: 'job'; readonly state: JobState | 'unknown'}
+  /** The record after the command, and whether the command changed it. */
+  | {
+      readonly type: 'evacuation';
+      readonly applied: boolean;
+      readonly record: EvacuationRecord;
+    };
 
 /** A job in the replicated state. */
 export interface JobRecord {
--- a/packages/dispatch/src/jobs/dispatch_state.ts
+++ b/packages/dispatch/src/jobs/dispatch_state.ts
@@ -1,6 +1,6 @@
 /**
- * Replicated state of dispatch: the configuration, the upstreams, and all jobs
- * with their progress. The runs in progress are not part of it: a new leader
+ * Replicated state of dispatch: the configuration, the upstreams, the evacuated
+ * data centres, and all jobs with their progress. The runs in progress are not part of it: a new leader
  * recovers them from the upstreams, which list their runs and run ends.
  */
 import {StateMachine} from '@mustardferry/coordination';
@@ -20,6 +20,12 @@
   UpstreamEntry,
 } from './commands.js';
 import {type Configuration, QueueTable} from './configuration.js';
+import {
+  type EvacuationChange,
+  type EvacuationRecord,
+  type EvacuationSnapshot,
+  EvacuationTable,
+} from './evacuations.js';
 import {type AdmittedJob, TASK_DONE} from './job_types.js';
 
 /**
@@ -39,6 +45,7 @@
   readonly earlyEnds: readonly CountedRunEnd[];
   /** Absent in snapshots of earlier programs. */
   readonly departed?: readonly DepartedUpstream[];
+  readonly evacuations?: EvacuationSnapshot;
 }
 
 interface DepartedUpstream extends UpstreamIncarnation {
@@ -49,6 +56,9 @@
 
 /** State machine replicated by the group's log; it must be deterministic. */
 export class DispatchState extends StateMachine<Command, CommandResult> {
+  readonly evacuations = new EvacuationTable();
+  /** Called after a data centre was evacuated or readmitted. */
+  onEvacuation: (record: EvacuationRecord) => void = () => undefined;
   private queueTable: QueueTable | null = null;
   private readonly upstreamsById = new Map<string, UpstreamEntry>();
   private readonly jobsById = new Map<string, JobRecord>();
@@ -105,6 +115,8 @@
         return this.cancel(command.job, command.at);
       case 'ends':
         return this.applyEnds(command);
+      case 'evacuate':
+        return this.evacuate(command);
       case 'expire':
         return this.expire(command.before);
       default:
@@ -120,6 +132,7 @@
       jobs: [...this.jobsById.values()],
       earlyEnds: this.earlyEnds,
       departed: [...this.departed.values()],
+      evacuations: this.evacuations.snapshot(),
     };
     return pack(content);
   }
@@ -137,6 +150,7 @@
     this.earlyEnds = [...content.earlyEnds];
     this.departed.clear();
     for (const each of content.departed ?? []) this.departed.set(each.id, each);
+    this.evacuations.restore(content.evacuations);
   }
 
   private configure(configuration: Configuration): CommandResult {
@@ -271,6 +285,13 @@
     return COMMAND_DONE;
   }
 
+  private evacuate(change: EvacuationChange): CommandResult {
+    const applied = this.evacuations.apply(change);
+    const record = this.evacuations.get(change.dataCentre);
+    if (applied) this.onEvacuation(record);
+    return {type: 'evacuation', applied, record};
+  }
+
   private toJobResult({outcome}: JobRecord): CommandResult {
     return {type: 'job', state: outcome === 'open' ? 'queued' : outcome};
   }
--- a/packages/dispatch/src/messages/calls.ts
+++ b/packages/dispatch/src/messages/calls.ts
@@ -1,5 +1,6 @@
 /** Calls to the leader and its replies. */
 import type {Configuration} from '../jobs/configuration.js';
+import type {EvacuationPeriod, EvacuationRecord} from '../jobs/evacuations.js';
 import type {JobRequest, JobState} from '../jobs/job_types.js';
 import type {
   Announcement,
@@ -27,7 +28,17 @@
   | {readonly type: 'announce'; readonly upstream: Announcement}
   | {readonly type: 'leave'; readonly id: UpstreamIncarnation['id']}
   | {readonly type: 'configure'; readonly configuration: Configuration}
-  | {readonly type: 'read-configuration'};
+  | {readonly type: 'read-configuration'}
+  | {readonly type: 'read-evacuations'}
+  /** Evacuates a data centre, or readmits it. */
+  | {
+      readonly type: 'evacuate';
+      readonly dataCentre: string;
+      readonly evacuated: boolean;
+      /** Revision of its record when the order arrived. */
+      readonly basedOn: number;
+      readonly operator: string;
+    };
 
 /** Age of a call, and whether it may already have taken effect. */
 export interface CallOrigin {
@@ -38,7 +49,12 @@
 }
 
 /** Why a submission was refused. A refused job has not run and never will. */
-export type SubmitRefusal = 'no-configuration' | 'overloaded' | 'not-in-time';
+export type SubmitRefusal =
+  | 'no-configuration'
+  | 'overloaded'
+  | 'not-in-time'
+  /** It fits only on upstreams of evacuated data centres. */
+  | 'evacuated';
 
 /** A reply from the leader. */
 export type Reply =
@@ -56,6 +72,15 @@
   | {readonly type: 'configured'; readonly revision: number}
   | {readonly type: 'configuration'; readonly source: string}
   | {readonly type: 'no-configuration'}
+  | {
+      readonly type: 'evacuations';
+      readonly records: readonly EvacuationRecord[];
+      readonly history: readonly EvacuationPeriod[];
+    }
+  /** The ordered state is in force. */
+  | {readonly type: 'evacuation'; readonly record: EvacuationRecord}
+  /** The record has changed since the order arrived; nothing was changed. */
+  | {readonly type: 'evacuation-conflict'; readonly record: EvacuationRecord}
   /** The call had no effect here; another instance may be the leader. */
   | {readonly type: 'not-leader'}
   /** The outcome is unknown; the call can be retried. */
--- a/packages/dispatch/src/owner/call_handler.ts
+++ b/packages/dispatch/src/owner/call_handler.ts
@@ -9,7 +9,7 @@
 import type {Logger, Metrics} from '@mustardferry/runtime';
 
 import type {Command, CommandResult, JobRecord} from '../jobs/commands.js';
-import type {Configuration, QueueConfig} from '../jobs/configuration.js';
+import type {QueueConfig} from '../jobs/configuration.js';
 import type {DispatchState} from '../jobs/dispatch_state.js';
 import {
   type AdmittedJob,
@@ -28,7 +28,9 @@
   extractJobId,
   type SubmitCall,
 } from './call_conversion.js';
+import {ConfigurationOrders} from './configuration_orders.js';
 import type {Dispatcher} from './dispatcher.js';
+import {EvacuationOrders} from './evacuation_orders.js';
 import {computeExpectedTimes, type JobTable} from './job_table.js';
 import type {Arrival} from './job_table_types.js';
 import type {Propose} from './proposer.js';
@@ -55,10 +57,14 @@
 /** Handles the calls of one term of leadership. */
 export class CallHandler {
   private readonly transientJobs: TransientJobs;
+  private readonly configurationOrders: ConfigurationOrders;
+  private readonly evacuationOrders: EvacuationOrders;
   private readonly pendingAdmissions = new Map<string, Promise<Reply>>();
 
   constructor(private readonly options: CallHandlerOptions) {
     this.transientJobs = new TransientJobs(options);
+    this.configurationOrders = new ConfigurationOrders(options);
+    this.evacuationOrders = new EvacuationOrders(options);
   }
 
   /** Drops a job whose caller has disconnected. */
@@ -101,9 +107,13 @@
       case 'leave':
         return this.leave(call.id);
       case 'configure':
-        return this.configure(call.configuration);
+        return this.configurationOrders.apply(call.configuration);
       case 'read-configuration':
-        return this.readConfiguration();
+        return this.configurationOrders.read();
+      case 'read-evacuations':
+        return this.evacuationOrders.read();
+      case 'evacuate':
+        return this.evacuationOrders.apply(call);
       default:
         return assertNever(call);
     }
@@ -269,32 +279,4 @@
     await this.options.sessionRegistry.leave(id);
     return {type: 'announced', leader: this.options.address};
   }
-
-  private async configure(configuration: Configuration): Promise<Reply> {
-    const {state, log, propose, logger} = this.options;
-    const {revision} = configuration;
-    const held = state.queues?.configuration.revision ?? -1;
-    if (revision <= held) {
-      // Even a replaced leader may acknowledge committed revisions only.
-      await log.readBarrier();
-      logger.info('configuration-known', {revision, held});
-      return {type: 'configured', revision: held};
-    }
-    await propose({type: 'configure', configuration});
-    logger.info('configuration-accepted', {
-      revision,
-      replaced: held,
-      queues: configuration.queues.length,
-    });
-    this.options.dispatcher.schedule();
-    return {type: 'configured', revision};
-  }
-
-  private async readConfiguration(): Promise<Reply> {
-    const {state, log} = this.options;
-    await log.readBarrier();
-    const {queues} = state;
-    if (!queues) return {type: 'no-configuration'};
-    return {type: 'configuration', source: queues.configuration.source};
-  }
 }
