--- a/packages/dispatch/src/owner/dispatcher.ts
+++ b/packages/dispatch/src/owner/dispatcher.ts
@@ -2,7 +2,6 @@
 import {OutlierEjection} from '@mustardferry/decisions';
 import type {Logger, Metrics} from '@mustardferry/runtime';
 
-import type {CountedRunEnd} from '../jobs/commands.js';
 import type {QueueConfig} from '../jobs/configuration.js';
 import type {DispatchState} from '../jobs/dispatch_state.js';
 import {type AdmittedJob, getTaskKey} from '../jobs/job_types.js';
@@ -13,12 +12,13 @@
 } from '../upstreams/upstream_port.js';
 import {DiscardedRuns} from './discarded_runs.js';
 import type {JobTable} from './job_table.js';
-import type {Arrival, OpenTask, Run} from './job_table_types.js';
+import type {Arrival, Run} from './job_table_types.js';
 import {LostRuns} from './lost_runs.js';
 import {OrphanedRuns} from './orphaned_runs.js';
 import type {OwnerActivity} from './owner_activity.js';
 import {PlacementPolicy} from './placement.js';
 import type {Propose} from './proposer.js';
+import {RunEnds} from './run_ends.js';
 import {type NewJob, RunStarter} from './run_starter.js';
 import type {Contact, SessionEvents} from './session_types.js';
 import {Stragglers} from './stragglers.js';
@@ -59,8 +59,6 @@
 
 /** Passes the events of sessions to the classes that handle them. */
 export class Dispatcher implements SessionEvents {
-  /** Ids of unknown jobs of which upstreams have listed ends. */
-  readonly earlyEndJobs = new Set<string>();
   /** Called when a job that isn't replicated has ended. */
   onTransientJobEnd: (job: string, state: 'completed' | 'failed') => void =
     () => undefined;
@@ -77,6 +75,7 @@
   private readonly outcomes: TaskOutcomes;
   private readonly stragglers: Stragglers;
   private readonly lost: LostRuns;
+  private readonly runEnds: RunEnds;
 
   constructor(private readonly options: DispatcherOptions) {
     const {health, discardedRuns} = this;
@@ -102,6 +101,13 @@
       outcomes: this.outcomes,
       schedule: () => this.schedule(),
     });
+    const {outcomes, orphanedRuns} = this;
+    this.runEnds = new RunEnds({
+      ...options,
+      outcomes,
+      orphanedRuns,
+      discardedRuns,
+    });
     this.stragglers = new Stragglers({
       ...shared,
       pool: name => this.starter.pool(name),
@@ -110,6 +116,11 @@
     });
   }
 
+  /** Ids of unknown jobs of which upstreams have listed ends. */
+  get earlyEndJobs(): Set<string> {
+    return this.runEnds.earlyEndJobs;
+  }
+
   /** Closes all sessions; the next owner adopts their runs. */
   close(): void {
     this.starter.close();
@@ -216,23 +227,10 @@
     ends: readonly RunEnd[],
     earlier: Promise<boolean>,
   ): Promise<boolean> {
-    const counted: CountedRunEnd[] = [];
-    for (const end of ends) {
-      const {task, run, outcome} = end;
-      const key = getTaskKey(task);
-      this.orphanedRuns.ended(session, end);
-      const known = this.options.jobTable.task(key);
-      const transient =
-        known?.job.admitted.durable === false ||
-        this.discardedRuns.find(key, session.key, run) !== undefined;
-      if (!transient && (outcome === 'done' || outcome === 'failed')) {
-        counted.push({task, run, outcome});
-      }
-      this.applyEnd(session, end, known);
-    }
+    const counted = this.runEnds.apply(session, ends);
     this.schedule();
     if (!(await earlier)) return false;
-    return counted.length === 0 || this.commitEnds(session, ends, counted);
+    return counted.length === 0 || this.runEnds.commit(session, ends, counted);
   }
 
   runLost(run: Run, cause: string): void {
@@ -259,42 +257,4 @@
     this.options.logger.warn('owner-superseded', {upstream: session.record.id});
     this.options.onSuperseded();
   }
-
-  private applyEnd(
-    session: UpstreamSession,
-    end: RunEnd,
-    task: OpenTask | undefined,
-  ): void {
-    if (task) {
-      this.outcomes.applyEnd(session, end, task);
-      return;
-    }
-    const {run, task: id} = end;
-    const earlier = this.discardedRuns.find(getTaskKey(id), session.key, run);
-    if (earlier) this.outcomes.releaseHeldTask(earlier);
-    else if (!this.options.state.jobs.has(id.job))
-      this.earlyEndJobs.add(id.job);
-  }
-
-  private async commitEnds(
-    session: UpstreamSession,
-    ends: readonly RunEnd[],
-    counted: readonly CountedRunEnd[],
-  ): Promise<boolean> {
-    const {id, startedAt} = session.record;
-    try {
-      await this.options.propose({
-        type: 'ends',
-        at: Date.now(),
-        life: {id, startedAt},
-        upTo: Math.max(...ends.map(end => end.sequence)),
-        ends: counted,
-      });
-    } catch {
-      // Logged by the proposer; the upstream lists the ends to the next owner.
-      return false;
-    }
-    this.outcomes.closeEndedJobs(counted);
-    return true;
-  }
 }
