Schedule when refused callers come back

Cause: all refused callers are told to come back after one second, so a refused burst returns as a second burst. Change: ReturnSchedule reserves a part of the capacity that is expected to be spare for each refused request, and names the second in which it fits.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -44,6 +44,7 @@
   decideAdmission,
 } from './limits/admission.js';
 export {type LeaderWait, mayWaitForLeader} from './limits/leader_wait.js';
+export {type RefusedRequest, ReturnSchedule} from './limits/return_schedule.js';
 export {
   checkRunnability,
   type Runnability,
