Tell refused callers when capacity is expected

Cause: Retry-After was one second for every cause, so that the callers of a refused burst, or of a lost leader, came back together. Change: the owner measures the demand on each pool and schedules returns in the seconds that have capacity left; callers without a leader are spread over the longest election. The reply carries the time, and logs show it.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -44,6 +44,10 @@
   decideAdmission,
 } from './limits/admission.js';
 export {type LeaderWait, mayWaitForLeader} from './limits/leader_wait.js';
+export {
+  computeOutageRetryAfterS,
+  type OutageRequest,
+} from './limits/outage_return.js';
 export {type RefusedRequest, ReturnSchedule} from './limits/return_schedule.js';
 export {
   checkRunnability,
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -5,6 +5,7 @@
 } from './instance/leader_client.js';
 export {Member} from './instance/member.js';
 export type {MemberOptions} from './instance/member_options.js';
+export {drawOutageRetryAfterS} from './instance/outage_advice.js';
 export {PauseDetector} from './instance/pause_detector.js';
 export type {
   Command,
--- a/packages/dispatch/src/instance/leaderless_period.ts
+++ b/packages/dispatch/src/instance/leaderless_period.ts
@@ -7,10 +7,7 @@
   DISPATCH_OVERHEAD_MS,
   MIN_RUN_TIME_FRACTION,
 } from '../owner/ready_queue.js';
-import {CALM_ELECTION_TIMEOUT_MS, ELECTION_TIMEOUT_MS} from './log_timing.js';
-
-/** Most time in ms until a follower campaigns. */
-const MAX_ELECTION_MS = 2 * ELECTION_TIMEOUT_MS;
+import {CALM_ELECTION_TIMEOUT_MS, MAX_ELECTION_MS} from './log_timing.js';
 
 /** Tracks since when no leader is connected. */
 export class LeaderlessPeriod {
--- a/packages/dispatch/src/instance/log_timing.ts
+++ b/packages/dispatch/src/instance/log_timing.ts
@@ -16,6 +16,9 @@
  */
 export const CALM_ELECTION_TIMEOUT_MS = 300;
 
+/** Most time in ms until a follower campaigns. */
+export const MAX_ELECTION_MS = 2 * ELECTION_TIMEOUT_MS;
+
 /**
  * Time in ms without contact after which a voter may be replaced by another
  * member. It is longer than the restart of a machine takes.
--- a/packages/dispatch/src/messages/calls.ts
+++ b/packages/dispatch/src/messages/calls.ts
@@ -62,8 +62,13 @@
   /** Final state of a non-durable job. */
   | {readonly type: 'ended'; readonly state: 'completed' | 'failed'}
   /** A non-durable job was dropped after it may have started. */
-  | {readonly type: 'given-up'}
-  | {readonly type: 'refused'; readonly reason: SubmitRefusal}
+  | {readonly type: 'given-up'; readonly retryAfterS?: number}
+  | {
+      readonly type: 'refused';
+      readonly reason: SubmitRefusal;
+      /** When capacity for the job is expected; absent if that is not known. */
+      readonly retryAfterS?: number;
+    }
   | {readonly type: 'no-queue'}
   | {readonly type: 'no-job'}
   | {readonly type: 'state'; readonly state: JobState}
--- a/packages/dispatch/src/owner/call_handler.ts
+++ b/packages/dispatch/src/owner/call_handler.ts
@@ -16,12 +16,7 @@
   getQueueKey,
   type JobState,
 } from '../jobs/job_types.js';
-import type {
-  Call,
-  CallOrigin,
-  Reply,
-  SubmitRefusal,
-} from '../messages/calls.js';
+import type {Call, CallOrigin, Reply} from '../messages/calls.js';
 import {
   createAdmittedJob,
   createArrival,
@@ -34,6 +29,7 @@
 import {computeExpectedTimes, type JobTable} from './job_table.js';
 import type {Arrival} from './job_table_types.js';
 import type {Propose} from './proposer.js';
+import {Refusals} from './refusals.js';
 import type {SessionRegistry} from './session_registry.js';
 import {TransientJobs} from './transient_jobs.js';
 
@@ -57,19 +53,22 @@
 /** Handles the calls of one term of leadership. */
 export class CallHandler {
   private readonly transientJobs: TransientJobs;
+  private readonly refusals: Refusals;
   private readonly configurationOrders: ConfigurationOrders;
   private readonly evacuationOrders: EvacuationOrders;
   private readonly pendingAdmissions = new Map<string, Promise<Reply>>();
 
   constructor(private readonly options: CallHandlerOptions) {
     this.transientJobs = new TransientJobs(options);
+    const {returnForecast} = options.dispatcher;
+    this.refusals = new Refusals({...options, returnForecast});
     this.configurationOrders = new ConfigurationOrders(options);
     this.evacuationOrders = new EvacuationOrders(options);
   }
 
   /** Drops a job whose caller has disconnected. */
   abandon(job: string): void {
-    this.transientJobs.abandon(job, 'caller gone');
+    this.transientJobs.dropDisconnected(job);
   }
 
   /** Answers the callers that still wait for their jobs to end. */
@@ -123,7 +122,7 @@
     const {state, jobTable, logger} = this.options;
     const {queues} = state;
     const {job} = call;
-    if (!queues) return this.refuseJob(job.id, 'no-configuration');
+    if (!queues) return this.refusals.refuseUnconfigured(job.id);
     const queue = queues.findQueue(call.host, call.path);
     if (!queue || queue.prefix + job.id !== call.path) {
       logger.info('job-unroutable', {
@@ -138,8 +137,12 @@
     if (running) return running;
     const answered = this.transientJobs.known(job.id);
     if (answered) return answered;
+    this.options.dispatcher.returnForecast.recordArrival(
+      {pool: queue.pool, steps: job.steps},
+      performance.now(),
+    );
     if (jobTable.openCount >= MAX_OPEN_JOBS) {
-      return this.refuseJob(job.id, 'overloaded');
+      return this.refusals.refuse(job, queue, 'overloaded');
     }
     if (!job.durable) return this.runTransientJob(call, queue, arrival);
     const admission = this.admit(call, queue, arrival).finally(() =>
@@ -149,13 +152,6 @@
     return admission;
   }
 
-  private refuseJob(job: string, reason: SubmitRefusal): Reply {
-    const {logger, metrics, jobTable} = this.options;
-    logger.warn('job-refused', {job, reason, openJobs: jobTable.openCount});
-    metrics.increment('jobs.refused', 1, {reason});
-    return {type: 'refused', reason};
-  }
-
   /**
    * Tasks start while the job is being committed. If the leader fails before
    * the commit, the next one finds their runs on the upstreams before it starts
@@ -195,8 +191,8 @@
       const mayHaveRun =
         !arrival.isNew || this.transientJobs.mayHaveRun(job.id);
       // A refusal guarantees that the job never ran.
-      if (mayHaveRun) return {type: 'given-up'};
-      return this.refuseJob(job.id, 'not-in-time');
+      if (mayHaveRun) return this.refusals.giveUp(job, queue);
+      return this.refusals.refuse(job, queue, 'not-in-time');
     }
     const admitted = createAdmittedJob(job, queue, term);
     this.options.metrics.increment('jobs.accepted');
--- a/packages/dispatch/src/owner/dispatcher.ts
+++ b/packages/dispatch/src/owner/dispatcher.ts
@@ -18,6 +18,7 @@
 import type {OwnerActivity} from './owner_activity.js';
 import {PlacementPolicy} from './placement.js';
 import type {Propose} from './proposer.js';
+import {ReturnForecast} from './return_forecast.js';
 import {RunEnds} from './run_ends.js';
 import {type NewJob, RunStarter} from './run_starter.js';
 import type {Contact, SessionEvents} from './session_types.js';
@@ -59,6 +60,7 @@
 
 /** Passes the events of sessions to the classes that handle them. */
 export class Dispatcher implements SessionEvents {
+  readonly returnForecast: ReturnForecast;
   /** Called when a job that isn't replicated has ended. */
   onTransientJobEnd: (job: string, state: 'completed' | 'failed') => void =
     () => undefined;
@@ -90,6 +92,7 @@
       ...shared,
       onUselessJob: job => this.onUselessJob(job),
     });
+    this.returnForecast = this.createReturnForecast();
     this.outcomes = new TaskOutcomes({
       ...options,
       health,
@@ -121,6 +124,13 @@
     return this.runEnds.earlyEndJobs;
   }
 
+  private createReturnForecast(): ReturnForecast {
+    return new ReturnForecast({
+      jobTable: this.options.jobTable,
+      getPool: name => this.starter.pool(name),
+    });
+  }
+
   /** Closes all sessions; the next owner adopts their runs. */
   close(): void {
     this.starter.close();
--- a/packages/dispatch/src/owner/transient_jobs.ts
+++ b/packages/dispatch/src/owner/transient_jobs.ts
@@ -8,7 +8,7 @@
 import type {Reply} from '../messages/calls.js';
 import type {Dispatcher} from './dispatcher.js';
 import type {JobTable} from './job_table.js';
-import type {Arrival} from './job_table_types.js';
+import type {Arrival, OpenJob} from './job_table_types.js';
 
 export interface TransientJobsOptions {
   readonly jobTable: JobTable;
@@ -70,13 +70,49 @@
     return reply;
   }
 
+  /** Drops a job whose caller has disconnected. */
+  dropDisconnected(id: string): void {
+    const job = this.findOpen(id);
+    if (job) this.drop(job, 'caller gone', {});
+  }
+
   /**
-   * Drops a job whose result is not needed any more, and replies to its caller.
+   * Replies to all waiting callers that their jobs were interrupted; the next
+   * owner may run them.
    */
-  abandon(id: string, cause: string): void {
-    const {jobTable, dispatcher, logger} = this.options;
-    const job = jobTable.job(id);
-    if (!job || job.admitted.durable) return;
+  close(): void {
+    for (const id of [...this.pendingReplies.keys()]) {
+      this.resolveReply(id, {type: 'interrupted'});
+    }
+  }
+
+  /**
+   * Drops a job whose result would come too late, and advises its caller when
+   * to come back.
+   */
+  private abandon(id: string, cause: string): void {
+    const job = this.findOpen(id);
+    if (!job) return;
+    const retryAfterS = this.options.dispatcher.returnForecast.getRetryAfterS(
+      job.admitted,
+      job.objectiveMs,
+      performance.now(),
+    );
+    this.drop(job, cause, {retryAfterS});
+  }
+
+  private findOpen(id: string): OpenJob | undefined {
+    const job = this.options.jobTable.job(id);
+    return job?.admitted.durable ? undefined : job;
+  }
+
+  private drop(
+    job: OpenJob,
+    cause: string,
+    advice: {readonly retryAfterS?: number},
+  ): void {
+    const {dispatcher, logger} = this.options;
+    const {id} = job.admitted;
     const started =
       job.started ||
       !job.isNew ||
@@ -91,21 +127,11 @@
     dispatcher.dropJob(id);
     if (started) this.rememberDropped(id);
     const reply: Reply = started
-      ? {type: 'given-up'}
-      : {type: 'refused', reason: 'not-in-time'};
+      ? {type: 'given-up', ...advice}
+      : {type: 'refused', reason: 'not-in-time', ...advice};
     this.resolveReply(id, reply);
   }
 
-  /**
-   * Replies to all waiting callers that their jobs were interrupted; the next
-   * owner may run them.
-   */
-  close(): void {
-    for (const id of [...this.pendingReplies.keys()]) {
-      this.resolveReply(id, {type: 'interrupted'});
-    }
-  }
-
   private rememberDropped(id: string): void {
     this.droppedAfterStart.add(id);
     if (this.droppedAfterStart.size <= MAX_KEPT_REPLIES) return;
--- a/packages/dispatch/tests/owner/owner_restarts.test.ts
+++ b/packages/dispatch/tests/owner/owner_restarts.test.ts
@@ -46,6 +46,7 @@
     expect(await others.at(-1)).to.deep.equal({
       type: 'refused',
       reason: 'overloaded',
+      retryAfterS: 1,
     });
     await harness.call({type: 'abandon', job: 'a'});
     expect(await again).to.deep.equal(await first);
