Let upstreams that come back into use return gradually

Cause: after the end of an evacuation the upstreams of a data centre may be cold, and nothing limited their load or discarded what was learned of them. Change: OutlierEjection.returnGradually sets the state that follows an ejection; results of tasks that started earlier don't raise the allowance, and an ejected upstream may be probed again. Not called yet. Measured: the unit tests pass; two of them fail without the respective line.

--- a/packages/decisions/src/health/outlier_ejection.ts
+++ b/packages/decisions/src/health/outlier_ejection.ts
@@ -29,6 +29,8 @@
   readonly ok: boolean;
   readonly runMs: number;
   readonly expectedMs: number;
+  /** When the attempt started, by the clock of `now`; may be unknown. */
+  readonly startedAtMs?: number;
 }
 
 /** A change of state, or an ejection that the cap prevented. */
@@ -103,7 +105,7 @@
     this.tasks.forgetTask(result.taskId);
     this.count(health, 1, 0, now);
     health.consecutiveFailures = 0;
-    return this.recordSuccess(result.upstream, health, now);
+    return this.recordSuccess(result, health, now);
   }
 
   getStatus(upstream: string, now: number): HealthStatus {
@@ -121,6 +123,23 @@
     return {state, allowance: isDue ? 1 : 0, probeAtMs, reason};
   }
 
+  /**
+   * Limits the load of an upstream that comes back into use and may be slow at
+   * first, as after an ejection. An ejected one still needs a probe; an earlier
+   * one may have been stopped without a result.
+   */
+  returnGradually(upstream: string, now: number): void {
+    const health = this.upstreams.get(upstream);
+    if (!health) return;
+    health.isProbing = false;
+    if (health.state === 'ejected') return;
+    health.state = 'returning';
+    health.allowance = 1;
+    health.returningSinceMs = now;
+    health.consecutiveFailures = 0;
+    this.clearCounts(health, now);
+  }
+
   /** Records that a task was sent to an ejected upstream as its probe. */
   recordProbeStart(upstream: string): void {
     const health = this.upstreams.get(upstream);
@@ -233,7 +252,7 @@
   }
 
   private recordSuccess(
-    upstream: string,
+    {upstream, startedAtMs = Infinity}: UpstreamResult,
     health: UpstreamHealth,
     now: number,
   ): readonly HealthChange[] {
@@ -246,9 +265,11 @@
       health.isProbing = false;
       health.state = 'returning';
       health.allowance = 1;
+      health.returningSinceMs = Number.NEGATIVE_INFINITY;
       this.clearCounts(health, now);
       return [{upstream, state: 'returning', reason}];
     }
+    if (startedAtMs < health.returningSinceMs) return [];
     health.allowance *= 2;
     if (health.allowance >= AVAILABLE_ALLOWANCE) {
       health.state = 'available';
--- a/packages/decisions/src/health/upstream_health.ts
+++ b/packages/decisions/src/health/upstream_health.ts
@@ -47,4 +47,6 @@
   isProbing = false;
   /** Tasks allowed at once while the upstream returns. */
   allowance = 0;
+  /** Successes of tasks that started earlier don't raise the allowance. */
+  returningSinceMs = Number.NEGATIVE_INFINITY;
 }
--- a/packages/decisions/tests/health/outlier_ejection.test.ts
+++ b/packages/decisions/tests/health/outlier_ejection.test.ts
@@ -103,6 +103,41 @@
     );
   });
 
+  // Guards against an upstream that comes back cold and gets all load at once.
+  it('limits an upstream that is put back into use, until it succeeds', () => {
+    const source = createEjection(10);
+    source.returnGradually('u0', 1_000);
+    const allowances = [0, 1, 2, 3].map(n => {
+      if (n > 0) recordResult(source, 'u0', true, 1_100);
+      return source.getStatus('u0', 1_100).allowance;
+    });
+    expect(allowances).to.deep.equal([1, 2, 4, Infinity]);
+  });
+
+  // Guards against results from before the return that end it early.
+  it('does not count tasks that started before the return', () => {
+    const source = createEjection(10);
+    source.returnGradually('u0', 1_000);
+    const result = {upstream: 'u0', taskId: 't', runMs: 100, expectedMs: 100};
+    source.record({...result, ok: true, startedAtMs: 999}, 1_050);
+    expect(source.getStatus('u0', 1_050).allowance).to.equal(1);
+    source.record({...result, ok: true, startedAtMs: 1_000}, 1_100);
+    expect(source.getStatus('u0', 1_100).allowance).to.equal(2);
+  });
+
+  // Guards against a probe that was stopped, after which no other would follow.
+  it('keeps an ejected upstream ejected, but lets another probe follow', () => {
+    const source = createEjection(10);
+    ejectUpstream(source, 'u0');
+    source.recordProbeStart('u0');
+    source.returnGradually('u0', 600);
+    expect(source.getStatus('u0', 600)).to.include({
+      state: 'ejected',
+      allowance: 1,
+    });
+    expect(source.ejectedCount).to.equal(1);
+  });
+
   it('probes one task at a time, at growing intervals', () => {
     const source = createEjection(10);
     ejectUpstream(source, 'u0');
--- a/packages/dispatch/src/owner/upstream_speed.ts
+++ b/packages/dispatch/src/owner/upstream_speed.ts
@@ -130,6 +130,12 @@
     this.known.delete(upstream);
   }
 
+  /** Discards estimates that no longer hold; the next owner loses them, too. */
+  discard(upstreams: readonly string[]): void {
+    for (const upstream of upstreams) this.known.delete(upstream);
+    if (upstreams.length > 0) this.hasNewRuns = true;
+  }
+
   private log(upstream: string, now: number): number {
     const known = this.known.get(upstream);
     if (!known) return this.mean;
--- a/packages/dispatch/tests/owner/upstream_speed.test.ts
+++ b/packages/dispatch/tests/owner/upstream_speed.test.ts
@@ -35,6 +35,17 @@
     expect(next.getTimeFactor('slow', now)).to.be.above(2);
   });
 
+  // Guards against discarded speeds that the next owner takes over.
+  it('discards estimates, also from the next snapshot', () => {
+    const speed = new UpstreamSpeed();
+    for (const key of ['cold', 'other']) speed.observe(key, 600, 100, 0);
+    speed.takeSnapshot();
+    speed.discard(['cold']);
+    expect(speed.getTimeFactor('cold', 0)).to.be.below(1.1);
+    const keys = speed.takeSnapshot()?.upstreams.map(([key]) => key);
+    expect(keys).to.deep.equal(['other']);
+  });
+
   it('takes no snapshot while no run has ended since the last one', () => {
     const speed = new UpstreamSpeed();
     expect(speed.takeSnapshot()).to.equal(null);
