Start no task on upstreams of evacuated data centres

Cause: the replicated state of evacuations had no effect on starts. Change: a session asks the table of evacuations whether its data centre is evacuated. It then accepts no runs and does not count as capacity; leases and lists of ends continue. A pool does not wait for such upstreams in passes.

--- a/packages/dispatch/src/owner/lease_clock.ts
+++ b/packages/dispatch/src/owner/lease_clock.ts
@@ -30,7 +30,7 @@
    * Records a reading, unless it lags further behind than the slowest clock
    * would: it was delayed, and leases would be granted shorter by that delay.
    */
-  observeReading(clockMs: number, at: number): void {
+  observeReading(clockMs: number, at = performance.now()): void {
     const {lastReading} = this;
     if (!lastReading) {
       this.lastReading = {clockMs, at};
--- a/packages/dispatch/src/owner/pool_index.ts
+++ b/packages/dispatch/src/owner/pool_index.ts
@@ -44,6 +44,7 @@
   private expectedCpuMillis = 0;
   private refreshedAt = Number.NEGATIVE_INFINITY;
   private excludedCount = 0;
+  private evacuatedCount = 0;
 
   constructor(
     private readonly speed: UpstreamSpeed,
@@ -59,9 +60,13 @@
     return this.entries.size;
   }
 
-  /** Whether upstreams are excluded that may accept runs again soon. */
+  /**
+   * Whether upstreams are excluded that may accept runs again soon. Evacuated
+   * ones may not: a readmission makes the next pass read all states.
+   */
   get hasExcluded(): boolean {
-    return this.excludedCount > 0 || this.entries.size < this.members.size;
+    const usableCount = this.members.size - this.evacuatedCount;
+    return this.excludedCount > 0 || this.entries.size < usableCount;
   }
 
   /** Fraction of the CPU capacity that runs use. */
@@ -137,6 +142,7 @@
     if (now - this.refreshedAt < REFRESH_INTERVAL_MS) return;
     this.refreshedAt = now;
     this.excludedCount = 0;
+    this.evacuatedCount = 0;
     this.cpuMillis = 0;
     this.usedCpuMillis = 0;
     this.maxWorkPerMs = 0;
@@ -145,6 +151,7 @@
     const ranked: RankedSession[] = [];
     for (const session of this.members) {
       this.activity.count('examined');
+      if (session.isEvacuated) this.evacuatedCount++;
       if (!session.countsAsCapacity) continue;
       const timeFactor = this.speed.getTimeFactor(session.key, now);
       this.maxWorkPerMs += session.record.cpuMillis / timeFactor;
--- a/packages/dispatch/src/owner/run_orders.ts
+++ b/packages/dispatch/src/owner/run_orders.ts
@@ -101,7 +101,7 @@
       return;
     }
     if (answer.clockMs !== undefined) {
-      leaseClock.observeReading(answer.clockMs, performance.now());
+      leaseClock.observeReading(answer.clockMs);
     }
     if (answer.type === 'refused') {
       if (answer.reason === 'older-run') void this.refuseOlderRun(run);
--- a/packages/dispatch/src/owner/session_registry.ts
+++ b/packages/dispatch/src/owner/session_registry.ts
@@ -205,6 +205,7 @@
     const {dispatcher, logger} = this.options;
     const session = new UpstreamSession({
       ...this.options,
+      evacuations: this.options.state.evacuations,
       record,
       acknowledged,
       clockMs,
--- a/packages/dispatch/src/owner/session_types.ts
+++ b/packages/dispatch/src/owner/session_types.ts
@@ -1,4 +1,5 @@
 /** Options and events of a session with an upstream. */
+import type {EvacuationTable} from '../jobs/evacuations.js';
 import type {
   ActiveRun,
   RunEnd,
@@ -69,6 +70,8 @@
   /** Length in ms to which the upstream shortens a lease. */
   readonly maxLeaseMs: number;
   readonly port: UpstreamPort;
+  /** Tells the data centres in which no task may start. */
+  readonly evacuations: Pick<EvacuationTable, 'isEvacuated'>;
   readonly events: SessionEvents;
   /** Whether this process may send orders now. */
   readonly maySendOrders: () => boolean;
--- a/packages/dispatch/src/owner/upstream_session.ts
+++ b/packages/dispatch/src/owner/upstream_session.ts
@@ -56,7 +56,7 @@
     this.runs = new RunTable(record);
     this.endsCursor = new EndsCursor(acknowledged);
     this.leaseClock = new LeaseClock(options.leaseMs);
-    if (clockMs !== undefined) this.observeClock(clockMs);
+    if (clockMs !== undefined) this.leaseClock.observeReading(clockMs);
     this.orders = new RunOrders({
       session: this,
       options,
@@ -89,8 +89,14 @@
     return answers && !this.closed && !this.holds.hasCompleteList;
   }
 
+  /** Whether no task may start there by an operator's order. */
+  get isEvacuated(): boolean {
+    return this.options.evacuations.isEvacuated(this.record.dataCentre);
+  }
+
   private get isUsable(): boolean {
-    return !this.record.leaving && !this.deregistered && !this.closed;
+    const {leaving} = this.record;
+    return !leaving && !this.deregistered && !this.closed && !this.isEvacuated;
   }
 
   /** Applies a changed announcement of the same incarnation. */
@@ -101,7 +107,7 @@
 
   observeAnnouncement(clockMs: number): void {
     this.lastContactAt = performance.now();
-    this.observeClock(clockMs);
+    this.leaseClock.observeReading(clockMs);
     if (this.state === 'lost') this.wakeup.wake();
   }
 
@@ -206,9 +212,8 @@
 
   /** Extends the leases unless they are to expire. */
   private createLeaseExtension(now: number): {readonly leaseUntil?: number} {
-    const lost =
-      this.state !== 'fencing' && this.failedHolds >= MAX_FAILED_HOLDS;
-    if (this.deregistered || lost) return {};
+    const isSilent = this.failedHolds >= MAX_FAILED_HOLDS;
+    if (this.deregistered || (isSilent && this.state !== 'fencing')) return {};
     const leaseUntil = this.leaseClock.grantLease(now);
     return leaseUntil === undefined ? {} : {leaseUntil};
   }
@@ -252,17 +257,13 @@
     this.lastContactAt = performance.now();
     this.holds.recordAnswer(sentAt);
     this.failedHolds = 0;
-    this.observeClock(clockMs);
+    this.leaseClock.observeReading(clockMs);
     if (this.state !== 'live') this.setContactState('live', 'answered');
     this.orders.forbidAbandonedRuns();
     if (!this.runs.isOutdated(answer)) this.processLists(answer, sentAt);
     events.holdAnswered(this);
   }
 
-  private observeClock(clockMs: number): void {
-    this.leaseClock.observeReading(clockMs, performance.now());
-  }
-
   private processLists(answer: HeldAnswer, sentAt: number): void {
     this.processEnds(answer.ends, answer.clockMs);
     const {confirmed, untracked, absent} = this.runs.compareWithActive(
--- a/packages/dispatch/tests/owner/late_answers.test.ts
+++ b/packages/dispatch/tests/owner/late_answers.test.ts
@@ -3,6 +3,7 @@
 import fakeTimers, {type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 
+import {EvacuationTable} from '../../src/jobs/evacuations.js';
 import type {Run} from '../../src/owner/job_table_types.js';
 import {UpstreamSession} from '../../src/owner/upstream_session.js';
 import type {
@@ -57,6 +58,7 @@
       token: 1,
       leaseMs: 700,
       maxLeaseMs: 1_000,
+      evacuations: new EvacuationTable(),
       port,
       events: {
         ...NOOP_EVENTS,
--- a/packages/dispatch/tests/owner/run_orders.test.ts
+++ b/packages/dispatch/tests/owner/run_orders.test.ts
@@ -3,6 +3,7 @@
 import fakeTimers, {type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 
+import {EvacuationTable} from '../../src/jobs/evacuations.js';
 import type {SessionEvents} from '../../src/owner/session_types.js';
 import {UpstreamSession} from '../../src/owner/upstream_session.js';
 import {
@@ -112,6 +113,7 @@
       token: 1,
       leaseMs: 700,
       maxLeaseMs: 1_000,
+      evacuations: new EvacuationTable(),
       port: new FakePort([upstream]),
       events: {...NOOP_EVENTS, ...events},
       maySendOrders: () => maySendOrders,
--- a/packages/dispatch/tests/owner/upstream_session.test.ts
+++ b/packages/dispatch/tests/owner/upstream_session.test.ts
@@ -2,6 +2,7 @@
 import fakeTimers, {type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 
+import {EvacuationTable} from '../../src/jobs/evacuations.js';
 import type {SessionEvents} from '../../src/owner/session_types.js';
 import {UpstreamSession} from '../../src/owner/upstream_session.js';
 import type {
@@ -70,6 +71,7 @@
       token: 1,
       leaseMs: 700,
       maxLeaseMs: 1_000,
+      evacuations: new EvacuationTable(),
       port,
       events,
       maySendOrders: () => true,
