Act on evacuations in the owner and refuse jobs that fit only there

Cause: starts that were under way at an evacuation still took effect, callers waited in vain for jobs that fit only in evacuated data centres, and a readmitted data centre would have been loaded at once. Stored jobs wait for the readmission.

--- a/packages/dispatch/src/owner/call_handler.ts
+++ b/packages/dispatch/src/owner/call_handler.ts
@@ -190,13 +190,12 @@
     arrival: Arrival,
   ): Promise<Reply> | Reply {
     const {dispatcher, term} = this.options;
+    if (dispatcher.fitsOnlyEvacuated(job, queue.pool, arrival.isNew)) {
+      return this.refuseTransientJob(job.id, arrival, 'evacuated');
+    }
     const expected = computeExpectedTimes(job, queue);
     if (!dispatcher.canServe({...queue, ...arrival, ...expected})) {
-      const mayHaveRun =
-        !arrival.isNew || this.transientJobs.mayHaveRun(job.id);
-      // A refusal guarantees that the job never ran.
-      if (mayHaveRun) return {type: 'given-up'};
-      return this.refuseJob(job.id, 'not-in-time');
+      return this.refuseTransientJob(job.id, arrival, 'not-in-time');
     }
     const admitted = createAdmittedJob(job, queue, term);
     this.options.metrics.increment('jobs.accepted');
@@ -204,6 +203,16 @@
     return this.transientJobs.submit(admitted, queue, arrival);
   }
 
+  /** A refusal guarantees that the job never ran. */
+  private refuseTransientJob(
+    id: string,
+    {isNew}: Arrival,
+    reason: SubmitRefusal,
+  ): Reply {
+    const mayHaveRun = !isNew || this.transientJobs.mayHaveRun(id);
+    return mayHaveRun ? {type: 'given-up'} : this.refuseJob(id, reason);
+  }
+
   private logAcceptedJob(
     job: AdmittedJob,
     queue: QueueConfig,
--- a/packages/dispatch/src/owner/dispatcher.ts
+++ b/packages/dispatch/src/owner/dispatcher.ts
@@ -4,13 +4,18 @@
 
 import type {QueueConfig} from '../jobs/configuration.js';
 import type {DispatchState} from '../jobs/dispatch_state.js';
-import {type AdmittedJob, getTaskKey} from '../jobs/job_types.js';
+import {
+  type AdmittedJob,
+  getTaskKey,
+  type JobRequest,
+} from '../jobs/job_types.js';
 import type {
   ActiveRun,
   RunEnd,
   StartRefusal,
 } from '../upstreams/upstream_port.js';
 import {DiscardedRuns} from './discarded_runs.js';
+import {EvacuationEffects} from './evacuation_effects.js';
 import type {JobTable} from './job_table.js';
 import type {Arrival, Run} from './job_table_types.js';
 import {LostRuns} from './lost_runs.js';
@@ -64,6 +69,9 @@
     () => undefined;
   /** Called when the result of a job would come too late to be useful. */
   onUselessJob: (job: string) => void = () => undefined;
+  /** Called for a job whose caller waits and that fits nowhere else. */
+  onEvacuatedJob: (job: string) => void = () => undefined;
+  readonly evacuations: EvacuationEffects;
   private readonly health = new OutlierEjection({
     consecutiveFailures: EJECTION_FAILURE_COUNT,
     firstProbeMs: FIRST_PROBE_MS,
@@ -85,34 +93,31 @@
       isRecoveryComplete: () => this.isRecoveryComplete,
     });
     const placement = new PlacementPolicy(health, options.remoteFactor);
-    const shared = {...options, placement, health};
+    const shared = {...options, placement, health, discardedRuns};
     this.starter = new RunStarter({
       ...shared,
       onUselessJob: job => this.onUselessJob(job),
     });
+    this.evacuations = new EvacuationEffects({
+      ...shared,
+      starter: this.starter,
+      onEvacuatedJob: job => this.onEvacuatedJob(job),
+    });
     this.outcomes = new TaskOutcomes({
-      ...options,
-      health,
-      discardedRuns,
+      ...shared,
       onTransientJobEnd: (job, state) => this.onTransientJobEnd(job, state),
     });
-    this.lost = new LostRuns({
-      ...options,
-      outcomes: this.outcomes,
-      schedule: () => this.schedule(),
-    });
     const {outcomes, orphanedRuns} = this;
-    this.runEnds = new RunEnds({
+    this.lost = new LostRuns({
       ...options,
       outcomes,
-      orphanedRuns,
-      discardedRuns,
+      schedule: () => this.schedule(),
     });
+    this.runEnds = new RunEnds({...shared, outcomes, orphanedRuns});
     this.stragglers = new Stragglers({
       ...shared,
       pool: name => this.starter.pool(name),
-      avoidUpstream: (task, session) =>
-        this.outcomes.avoidUpstream(task, session),
+      avoidUpstream: (task, session) => outcomes.avoidUpstream(task, session),
     });
   }
 
@@ -124,12 +129,14 @@
   /** Closes all sessions; the next owner adopts their runs. */
   close(): void {
     this.starter.close();
+    this.evacuations.close();
     for (const session of this.starter.sessions) session.close();
   }
 
   /** Allows all starts: no run of earlier owners can go undetected now. */
   completeRecovery(): void {
     this.starter.completeRecovery();
+    this.evacuations.reviewAllJobs();
   }
 
   get isRecoveryComplete(): boolean {
@@ -144,6 +151,7 @@
   addSession(session: UpstreamSession): void {
     this.starter.add(session);
     this.health.add(session.key);
+    this.evacuations.sessionAdded(session);
   }
 
   /**
@@ -165,6 +173,21 @@
       if (successor) this.lost.verifyOnSuccessor(run, successor);
       else this.runLost(run, cause);
     }
+    this.evacuations.sessionRemoved(session, successor !== undefined);
+  }
+
+  /**
+   * Whether a new job would have to start tasks in evacuated data centres. If
+   * it may already run there under an earlier owner, that is found out first.
+   */
+  fitsOnlyEvacuated(
+    {id, steps}: JobRequest,
+    pool: string,
+    isNew: boolean,
+  ): boolean {
+    if (!this.evacuations.fitsOnlyEvacuated(steps, pool)) return false;
+    const mayRun = !isNew && !this.isRecoveryComplete;
+    return !mayRun && !this.orphanedRuns.hasRunsOf(id);
   }
 
   canServe(job: NewJob): boolean {
@@ -182,6 +205,7 @@
       if (known && outcome === 'done') jobTable.completeTask(known);
     }
     this.orphanedRuns.adoptOrphansOf(created);
+    this.evacuations.reviewJob(job.id);
     this.schedule();
     if (!job.durable) this.outcomes.endTransientJob(created);
   }
@@ -218,7 +242,10 @@
     if (to === 'live') logger.info('upstream-reached', fields);
     else logger.warn('upstream-not-reached', fields);
     metrics.increment('upstream.contact_changes', 1, {to});
-    if (to === 'lost') this.orphanedRuns.removeSession(session);
+    if (to === 'lost') {
+      this.orphanedRuns.removeSession(session);
+      this.evacuations.reviewAllJobs();
+    }
     if (to === 'live') this.starter.resumeStarts(session);
   }
 
@@ -228,6 +255,9 @@
     earlier: Promise<boolean>,
   ): Promise<boolean> {
     const counted = this.runEnds.apply(session, ends);
+    for (const {task, outcome} of ends) {
+      if (outcome !== 'done') this.evacuations.reviewJob(task.job);
+    }
     this.schedule();
     if (!(await earlier)) return false;
     return counted.length === 0 || this.runEnds.commit(session, ends, counted);
@@ -235,10 +265,12 @@
 
   runLost(run: Run, cause: string): void {
     this.lost.lost(run, cause);
+    this.evacuations.reviewJob(run.task.id.job);
   }
 
   startRefused(run: Run, reason: StartRefusal | 'not-sent'): void {
     this.lost.refused(run, reason);
+    this.evacuations.reviewJob(run.task.id.job);
   }
 
   holdAnswered(session: UpstreamSession): void {
--- a/packages/dispatch/src/owner/job_table.ts
+++ b/packages/dispatch/src/owner/job_table.ts
@@ -38,6 +38,10 @@
     return count;
   }
 
+  get openJobs(): readonly OpenJob[] {
+    return [...this.jobs.values()];
+  }
+
   job(id: string): OpenJob | undefined {
     return this.jobs.get(id);
   }
--- a/packages/dispatch/src/owner/owner.ts
+++ b/packages/dispatch/src/owner/owner.ts
@@ -271,6 +271,7 @@
       ...this.activity.takeReport(),
     });
     this.setGauges(openJobs, readyTasks, runs);
+    this.dispatcher.evacuations.report();
   }
 
   private setGauges(openJobs: number, readyTasks: number, runs: number): void {
--- a/packages/dispatch/src/owner/run_starter.ts
+++ b/packages/dispatch/src/owner/run_starter.ts
@@ -108,6 +108,12 @@
     this.pool(session.record.pool).remove(session);
   }
 
+  /** Makes the next passes read the states of all upstreams. */
+  invalidate(): void {
+    for (const pool of this.pools.values()) pool.invalidate();
+    this.schedule();
+  }
+
   /** Makes an upstream available again once it is reached. */
   resumeStarts(session: UpstreamSession): void {
     this.pool(session.record.pool).invalidate();
--- a/packages/dispatch/src/owner/task_outcomes.ts
+++ b/packages/dispatch/src/owner/task_outcomes.ts
@@ -171,7 +171,14 @@
     }
     const runMs = getRunMs(run);
     const changes = health.record(
-      {upstream: session.key, taskId: task.key, ok, runMs, expectedMs},
+      {
+        upstream: session.key,
+        taskId: task.key,
+        ok,
+        runMs,
+        expectedMs,
+        startedAtMs: run.startedAt,
+      },
       now,
     );
     for (const {state, reason} of changes) {
--- a/packages/dispatch/src/owner/transient_jobs.ts
+++ b/packages/dispatch/src/owner/transient_jobs.ts
@@ -5,7 +5,7 @@
 
 import type {QueueConfig} from '../jobs/configuration.js';
 import type {AdmittedJob} from '../jobs/job_types.js';
-import type {Reply} from '../messages/calls.js';
+import type {Reply, SubmitRefusal} from '../messages/calls.js';
 import type {Dispatcher} from './dispatcher.js';
 import type {JobTable} from './job_table.js';
 import type {Arrival} from './job_table_types.js';
@@ -38,6 +38,8 @@
   constructor(private readonly options: TransientJobsOptions) {
     options.dispatcher.onUselessJob = id =>
       this.abandon(id, 'result no longer useful');
+    options.dispatcher.onEvacuatedJob = id =>
+      this.abandon(id, 'data centres evacuated', 'evacuated');
     options.dispatcher.onTransientJobEnd = (id, state) => this.ended(id, state);
   }
 
@@ -71,10 +73,17 @@
   }
 
   /**
-   * Drops a job whose result is not needed any more, and replies to its caller.
+   * Drops a job that is not needed any more or can't run, and replies to its
+   * caller.
+   *
+   * @param reason Reason of the refusal if the job has not started.
    */
-  abandon(id: string, cause: string): void {
-    const {jobTable, dispatcher, logger} = this.options;
+  abandon(
+    id: string,
+    cause: string,
+    reason: SubmitRefusal = 'not-in-time',
+  ): void {
+    const {jobTable, dispatcher, logger, metrics} = this.options;
     const job = jobTable.job(id);
     if (!job || job.admitted.durable) return;
     const started =
@@ -92,7 +101,10 @@
     if (started) this.rememberDropped(id);
     const reply: Reply = started
       ? {type: 'given-up'}
-      : {type: 'refused', reason: 'not-in-time'};
+      : {type: 'refused', reason};
+    if (!started && reason === 'evacuated') {
+      metrics.increment('jobs.refused', 1, {reason});
+    }
     this.resolveReply(id, reply);
   }
 
--- a/packages/dispatch/tests/fake_upstreams.ts
+++ b/packages/dispatch/tests/fake_upstreams.ts
@@ -55,6 +55,7 @@
   delivery: (order: 'start' | 'stop' | 'hold') => Delivery = () => 'delivered';
   maxRuns = 2;
   labels: readonly string[] = [];
+  dataCentre = 'a';
   /** Whether it refuses all starts. */
   unhealthy = false;
   /** Most run ends in the answer to a hold. */
@@ -80,7 +81,7 @@
   }
 
   announcement(sequence: number, leaving = false): Announcement {
-    const {id, address, startedAt, clockMs, labels} = this;
+    const {id, address, startedAt, clockMs, labels, dataCentre} = this;
     return {
       id,
       address,
@@ -89,7 +90,7 @@
       sequence,
       leaving,
       pool: 'pool',
-      dataCentre: 'a',
+      dataCentre,
       cpuMillis: this.maxRuns * 1_000,
       memoryMb: 1_000,
       accelerators: 0,
--- a/packages/dispatch/tests/owner_harness.ts
+++ b/packages/dispatch/tests/owner_harness.ts
@@ -178,6 +178,13 @@
     return must(this.owner, 'no owner').handleCall(call, {ageMs: 0, repeated});
   }
 
+  /** Evacuates a data centre, or readmits it. */
+  async evacuate(dataCentre: string, evacuated = true): Promise<void> {
+    const {revision: basedOn} = this.state.evacuations.get(dataCentre);
+    const order = {dataCentre, evacuated, basedOn, operator: 'ops'};
+    await this.waitFor(this.call({type: 'evacuate', ...order}));
+  }
+
   /** Returns the state of a durable job. */
   async getJobState(id: string): Promise<string> {
     const path = `/q/${id}`;
