--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -48,7 +48,11 @@
   computeOutageRetryAfterS,
   type OutageRequest,
 } from './limits/outage_return.js';
-export {type RefusedRequest, ReturnSchedule} from './limits/return_schedule.js';
+export {
+  MAX_RETRY_AFTER_S,
+  type RefusedRequest,
+  ReturnSchedule,
+} from './limits/return_schedule.js';
 export {
   checkRunnability,
   type Runnability,
--- a/packages/decisions/src/limits/return_schedule.ts
+++ b/packages/decisions/src/limits/return_schedule.ts
@@ -24,7 +24,7 @@
 }
 
 /** Longest time in s that a caller is told to stay away. */
-const MAX_RETRY_AFTER_S = 30;
+export const MAX_RETRY_AFTER_S = 30;
 
 /**
  * Least fraction of the capacity that counts as spare. While demand exceeds the
--- a/packages/dispatch/src/owner/call_handler.ts
+++ b/packages/dispatch/src/owner/call_handler.ts
@@ -14,9 +14,15 @@
 import {
   type AdmittedJob,
   getQueueKey,
+  type JobRequest,
   type JobState,
 } from '../jobs/job_types.js';
-import type {Call, CallOrigin, Reply} from '../messages/calls.js';
+import type {
+  Call,
+  CallOrigin,
+  Reply,
+  SubmitRefusal,
+} from '../messages/calls.js';
 import {
   createAdmittedJob,
   createArrival,
@@ -186,13 +192,12 @@
     arrival: Arrival,
   ): Promise<Reply> | Reply {
     const {dispatcher, term} = this.options;
+    if (dispatcher.fitsOnlyEvacuated(job, queue.pool, arrival.isNew)) {
+      return this.refuseTransientJob(job, queue, arrival, 'evacuated');
+    }
     const expected = computeExpectedTimes(job, queue);
     if (!dispatcher.canServe({...queue, ...arrival, ...expected})) {
-      const mayHaveRun =
-        !arrival.isNew || this.transientJobs.mayHaveRun(job.id);
-      // A refusal guarantees that the job never ran.
-      if (mayHaveRun) return this.refusals.giveUp(job, queue);
-      return this.refusals.refuse(job, queue, 'not-in-time');
+      return this.refuseTransientJob(job, queue, arrival, 'not-in-time');
     }
     const admitted = createAdmittedJob(job, queue, term);
     this.options.metrics.increment('jobs.accepted');
@@ -200,6 +205,19 @@
     return this.transientJobs.submit(admitted, queue, arrival);
   }
 
+  /** A refusal guarantees that the job never ran. */
+  private refuseTransientJob(
+    job: JobRequest,
+    queue: QueueConfig,
+    {isNew}: Arrival,
+    reason: SubmitRefusal,
+  ): Reply {
+    const mayHaveRun = !isNew || this.transientJobs.mayHaveRun(job.id);
+    return mayHaveRun
+      ? this.refusals.giveUp(job, queue, reason)
+      : this.refusals.refuse(job, queue, reason);
+  }
+
   private logAcceptedJob(
     job: AdmittedJob,
     queue: QueueConfig,
--- a/packages/dispatch/src/owner/job_table.ts
+++ b/packages/dispatch/src/owner/job_table.ts
@@ -38,6 +38,10 @@
     return count;
   }
 
+  get openJobs(): readonly OpenJob[] {
+    return [...this.jobs.values()];
+  }
+
   job(id: string): OpenJob | undefined {
     return this.jobs.get(id);
   }
@@ -224,7 +228,7 @@
  * response time objective that follows from it, in ms.
  */
 export function computeExpectedTimes(
-  {steps}: JobRequest,
+  {steps}: Pick<JobRequest, 'steps'>,
   {stretch, targetMs}: QueueConfig,
 ): Pick<OpenJob, 'criticalPathMs' | 'objectiveMs'> {
   const criticalPathMs = computeCriticalPathMs(steps);
--- a/packages/dispatch/src/owner/refusals.ts
+++ b/packages/dispatch/src/owner/refusals.ts
@@ -25,21 +25,26 @@
   }
 
   refuse(job: JobRequest, queue: QueueConfig, reason: SubmitRefusal): Reply {
-    const retryAfterS = this.adviseReturn(job, queue);
+    const retryAfterS = this.adviseReturn(job, queue, reason);
     this.report(job.id, reason, retryAfterS);
     return {type: 'refused', reason, retryAfterS};
   }
 
   /** Gives up a job that may have run, so that a refusal would be false. */
-  giveUp(job: JobRequest, queue: QueueConfig): Reply {
-    return {type: 'given-up', retryAfterS: this.adviseReturn(job, queue)};
+  giveUp(job: JobRequest, queue: QueueConfig, reason: SubmitRefusal): Reply {
+    const retryAfterS = this.adviseReturn(job, queue, reason);
+    return {type: 'given-up', retryAfterS};
   }
 
-  private adviseReturn(job: JobRequest, queue: QueueConfig): number {
-    const {objectiveMs} = computeExpectedTimes(job, queue);
+  private adviseReturn(
+    {steps}: JobRequest,
+    queue: QueueConfig,
+    reason: SubmitRefusal,
+  ): number {
+    const {objectiveMs} = computeExpectedTimes({steps}, queue);
+    const {pool} = queue;
     return this.options.returnForecast.getRetryAfterS(
-      {pool: queue.pool, steps: job.steps},
-      objectiveMs,
+      {pool, steps, objectiveMs, reason},
       performance.now(),
     );
   }
--- a/packages/dispatch/src/owner/return_forecast.ts
+++ b/packages/dispatch/src/owner/return_forecast.ts
@@ -1,21 +1,28 @@
 /** Tells refused callers when capacity is expected for their jobs. */
-import {ReturnSchedule} from '@mustardferry/decisions';
+import {MAX_RETRY_AFTER_S, ReturnSchedule} from '@mustardferry/decisions';
 
 import type {JobRequest} from '../jobs/job_types.js';
+import type {SubmitRefusal} from '../messages/calls.js';
 import type {JobTable} from './job_table.js';
-import type {PoolIndex} from './pool_index.js';
+import type {RunStarter} from './run_starter.js';
 
 export interface ReturnForecastOptions {
   readonly jobTable: JobTable;
-  readonly getPool: (name: string) => PoolIndex;
+  readonly starter: Pick<RunStarter, 'pool'>;
 }
 
-/** A job that is refused, or that counts as demand. */
+/** A job that counts as demand. */
 export interface ForecastJob {
   readonly pool: string;
   readonly steps: JobRequest['steps'];
 }
 
+/** A job that is refused or given up. */
+export interface RefusedJob extends ForecastJob {
+  readonly objectiveMs: number;
+  readonly reason: SubmitRefusal;
+}
+
 /**
  * Time constant in ms of the measured demand: long enough for the arrivals of
  * several seconds to even out, short enough to follow the end of a burst.
@@ -40,8 +47,10 @@
   }
 
   /** Returns the time in whole s after which the caller should come back. */
-  getRetryAfterS(job: ForecastJob, objectiveMs: number, now: number): number {
-    const pool = this.options.getPool(job.pool);
+  getRetryAfterS(job: RefusedJob, now: number): number {
+    // No forecast tells when an operator ends an evacuation.
+    if (job.reason === 'evacuated') return MAX_RETRY_AFTER_S;
+    const pool = this.options.starter.pool(job.pool);
     const queue = this.options.jobTable.readyQueues.get(job.pool);
     const demandPerMs = this.demand.get(job.pool)?.get(now) ?? 0;
     // Without upstreams the capacity is not known, and nothing is worked off.
@@ -58,7 +67,7 @@
       capacityPerMs,
       demandPerMs,
       backlogMs: pool.workPerMs > 0 ? waiting / pool.workPerMs : 0,
-      objectiveMs,
+      objectiveMs: job.objectiveMs,
     });
   }
 }
--- a/packages/dispatch/src/owner/transient_jobs.ts
+++ b/packages/dispatch/src/owner/transient_jobs.ts
@@ -5,7 +5,7 @@
 
 import type {QueueConfig} from '../jobs/configuration.js';
 import type {AdmittedJob} from '../jobs/job_types.js';
-import type {Reply} from '../messages/calls.js';
+import type {Reply, SubmitRefusal} from '../messages/calls.js';
 import type {Dispatcher} from './dispatcher.js';
 import type {JobTable} from './job_table.js';
 import type {Arrival, OpenJob} from './job_table_types.js';
@@ -17,6 +17,12 @@
   readonly metrics: Metrics;
 }
 
+/** Reply to the caller of a dropped job that has not started. */
+interface DroppedJobRefusal {
+  readonly reason: SubmitRefusal;
+  readonly retryAfterS?: number;
+}
+
 interface PendingReply {
   readonly reply: Promise<Reply>;
   readonly resolve: (reply: Reply) => void;
@@ -38,6 +44,8 @@
   constructor(private readonly options: TransientJobsOptions) {
     options.dispatcher.onUselessJob = id =>
       this.abandon(id, 'result no longer useful');
+    options.dispatcher.onEvacuatedJob = id =>
+      this.abandon(id, 'data centres evacuated', 'evacuated');
     options.dispatcher.onTransientJobEnd = (id, state) => this.ended(id, state);
   }
 
@@ -73,7 +81,7 @@
   /** Drops a job whose caller has disconnected. */
   dropDisconnected(id: string): void {
     const job = this.findOpen(id);
-    if (job) this.drop(job, 'caller gone', {});
+    if (job) this.drop(job, 'caller gone', {reason: 'not-in-time'});
   }
 
   /**
@@ -87,18 +95,26 @@
   }
 
   /**
-   * Drops a job whose result would come too late, and advises its caller when
-   * to come back.
+   * Drops a job that can't run or whose result would come too late, and advises
+   * its caller when to come back.
+   *
+   * @param reason Reason of the refusal if the job has not started.
    */
-  private abandon(id: string, cause: string): void {
+  private abandon(
+    id: string,
+    cause: string,
+    reason: SubmitRefusal = 'not-in-time',
+  ): void {
     const job = this.findOpen(id);
     if (!job) return;
-    const retryAfterS = this.options.dispatcher.returnForecast.getRetryAfterS(
-      job.admitted,
-      job.objectiveMs,
+    const {admitted, objectiveMs} = job;
+    const {pool, steps} = admitted;
+    const {returnForecast} = this.options.dispatcher;
+    const retryAfterS = returnForecast.getRetryAfterS(
+      {pool, steps, objectiveMs, reason},
       performance.now(),
     );
-    this.drop(job, cause, {retryAfterS});
+    this.drop(job, cause, {reason, retryAfterS});
   }
 
   private findOpen(id: string): OpenJob | undefined {
@@ -106,13 +122,10 @@
     return job?.admitted.durable ? undefined : job;
   }
 
-  private drop(
-    job: OpenJob,
-    cause: string,
-    advice: {readonly retryAfterS?: number},
-  ): void {
-    const {dispatcher, logger} = this.options;
+  private drop(job: OpenJob, cause: string, refusal: DroppedJobRefusal): void {
+    const {dispatcher, logger, metrics} = this.options;
     const {id} = job.admitted;
+    const {reason, ...advice} = refusal;
     const started =
       job.started ||
       !job.isNew ||
@@ -128,7 +141,10 @@
     if (started) this.rememberDropped(id);
     const reply: Reply = started
       ? {type: 'given-up', ...advice}
-      : {type: 'refused', reason: 'not-in-time', ...advice};
+      : {type: 'refused', reason, ...advice};
+    if (!started && reason === 'evacuated') {
+      metrics.increment('jobs.refused', 1, {reason});
+    }
     this.resolveReply(id, reply);
   }
 
--- a/packages/runtime/tests/recording_metrics.ts
+++ b/packages/runtime/tests/recording_metrics.ts
@@ -6,7 +6,7 @@
   readonly timings: [string, number][] = [];
   readonly gauges: Record<string, number> = {};
 
-  override increment(): void {}
+  override increment(..._args: Parameters<Metrics['increment']>): void {}
 
   override gauge(name: string, value: number): void {
     this.gauges[name] = value;
