--- a/packages/entry/src/groups/record_group.ts
+++ b/packages/entry/src/groups/record_group.ts
@@ -18,6 +18,7 @@
 import type {GroupStorage} from '../storage/instance_storage.js';
 import type {GroupDefinition} from './group_members.js';
 import {betterLeader, successorOf} from './leader_placement.js';
+import {LeaseCheck} from './lease_check.js';
 
 /** What an owner needs besides its group. */
 export type OwnerContext = Pick<
@@ -41,7 +42,6 @@
 }
 
 const EXPIRY_PERIOD_MS = 10_000;
-const LEASE_CHECK_MS = 20;
 const PLACEMENT_PERIOD_MS = 1_000;
 const CLEAN_UP_PERIOD_MS = 10_000;
 
@@ -52,8 +52,9 @@
   private log: ReplicatedLog<RecordsCommand, RecordsResult> | undefined;
   private currentOwner: JobOwner | undefined;
   private readonly timers: NodeJS.Timeout[] = [];
-  private leaseCheckedAt = 0;
-  private leaseHeld = false;
+  private readonly lease = new LeaseCheck(
+    () => this.log?.status().leaseMs ?? 0,
+  );
   private stopping = false;
   /** Consecutive placement checks that found a leader without a lease. */
   private withoutLease = 0;
@@ -219,7 +220,7 @@
   private createOwner(term: number): JobOwner {
     const {options} = this;
     const log = must(this.log, 'leadership without a log');
-    this.leaseCheckedAt = 0;
+    this.lease.forget();
     return new JobOwner({
       ...options.owner,
       group: this.name,
@@ -229,8 +230,13 @@
         term,
       },
       state: this.state,
-      propose: (command, how) => log.propose(command, how),
-      holdsLease: () => this.holdsLease(),
+      propose: (command, how) =>
+        log.propose(command, how).catch((err: unknown) => {
+          // A transfer ends the lease and refuses proposals at the same moment.
+          this.lease.forget();
+          throw err;
+        }),
+      holdsLease: () => this.lease.isHeld(),
       hasDurableStorage: () =>
         options.definition.members.some(
           ({name, disk}) =>
@@ -240,17 +246,6 @@
     });
   }
 
-  /** Asked for each start, so the answer is kept for a few milliseconds. */
-  private holdsLease(): boolean {
-    const now = Date.now();
-    if (now - this.leaseCheckedAt >= LEASE_CHECK_MS) {
-      this.leaseCheckedAt = now;
-      const leaseMs = this.log?.status().leaseMs ?? 0;
-      this.leaseHeld = leaseMs > LEASE_CHECK_MS;
-    }
-    return this.leaseHeld;
-  }
-
   private dropEarlierLives(): void {
     if (!this.isVoter || this.leader === undefined) return;
     const {storage, logger} = this.options;
