Keep tasks of an owner that regains its lease in one term

Callers saw: jobs of kinds that must not be repeated were never answered (AbortError of the load generator after 20 s and more) on a busy machine.

Cause: a start that was recorded, or refused, while the owner held no lease was dropped, for the next owner to take over. When the lease returned in the same term there was no next owner, and the task never ran.

Change: the owner waits until it holds its lease again, and then sends the task or records its start or seal again. It drops the task only when the job is settled, as it is when the ownership ends.

--- a/packages/entry/src/dispatch/attempt_follower.ts
+++ b/packages/entry/src/dispatch/attempt_follower.ts
@@ -1,4 +1,5 @@
 /** Sends attempts, awaits their outcome and moves their tasks on. */
+import type {StartResult} from '@mustardferry/coordination';
 import type {RetryBudget} from '@mustardferry/decisions';
 import {assertNever, must} from '@mustardferry/model';
 import type {Logger} from '@mustardferry/runtime';
@@ -31,6 +32,9 @@
   readonly onSlotFreed: () => void;
 }
 
+/** Period of checks whether an owner has regained its lease. */
+const LEASE_CHECK_PERIOD_MS = 20;
+
 /** Sends attempts and handles their outcomes. */
 export class AttemptFollower {
   private readonly recorder = new StartRecorder();
@@ -63,19 +67,12 @@
     entry: TaskEntry,
     attempt: RunningAttempt,
   ): Promise<void> {
-    const {job, owner, index} = entry.task;
-    const {address, incarnation} = must(
-      this.options.pool.announcement(attempt.upstream),
-      'routed to an upstream that is not in the pool',
-    );
-    const result = await this.recorder.record(owner, {
-      jobId: job.jobId,
-      taskIndex: index,
-      attempt: attempt.attempt,
-      upstream: {address, incarnation},
-      atMs: attempt.startedAtMs,
-    });
-    if (result?.outcome === 'started' && owner.active && !job.settled) {
+    const {job, owner} = entry.task;
+    const result = await this.recordStart(entry, attempt);
+    // The lease may also be lost and regained within one term. The task then
+    // stays with this owner, as no other one would start it.
+    const isOwned = await this.waitForLease(entry);
+    if (result?.outcome === 'started' && isOwned) {
       this.sendAttempt(entry, attempt);
       return;
     }
@@ -87,7 +84,7 @@
         detail: `The start was refused: ${result.reason}.`,
         unknown: true,
       });
-    } else if (result === undefined && owner.active) {
+    } else if (result === undefined && isOwned) {
       owner.failJob(job, {
         code: 'no-durable-storage',
         detail: 'The start could not be recorded on synced storage.',
@@ -95,6 +92,43 @@
     }
   }
 
+  /**
+   * Records a start. Tries again after a failure without a lease: an owner that
+   * regains its lease in the same term proposed nothing meanwhile.
+   */
+  private async recordStart(
+    entry: TaskEntry,
+    attempt: RunningAttempt,
+  ): Promise<StartResult | undefined> {
+    const {job, owner, index} = entry.task;
+    const {address, incarnation} = must(
+      this.options.pool.announcement(attempt.upstream),
+      'routed to an upstream that is not in the pool',
+    );
+    const item = {
+      jobId: job.jobId,
+      taskIndex: index,
+      attempt: attempt.attempt,
+      upstream: {address, incarnation},
+      atMs: attempt.startedAtMs,
+    };
+    for (;;) {
+      const result = await this.recorder.record(owner, item);
+      if (result !== undefined || owner.active || job.settled) return result;
+      if (!(await this.waitForLease(entry))) return undefined;
+    }
+  }
+
+  /**
+   * Waits until the owner holds its lease. Returns false if the job was settled
+   * before, for example because the next owner takes it over.
+   */
+  private async waitForLease(entry: TaskEntry): Promise<boolean> {
+    const {job, owner} = entry.task;
+    while (!job.settled && !owner.active) await sleep(LEASE_CHECK_PERIOD_MS);
+    return !job.settled;
+  }
+
   private sendAttempt(entry: TaskEntry, attempt: RunningAttempt): void {
     if (entry.sentCount === 0) this.options.budget.started(entry.queued.team);
     entry.sentCount += 1;
@@ -162,26 +196,42 @@
     seal: RunningAttempt | undefined,
   ): Promise<void> {
     entry.phase = 'backing-off';
+    if (seal !== undefined && !(await this.recordSeal(entry, seal))) return;
+    if (delayMs > 0) await sleep(delayMs);
+    if (entry.phase !== 'backing-off' || entry.task.job.settled) return;
+    this.options.requeueTask(entry);
+  }
+
+  /**
+   * Records that an attempt never started. Without this record, a later owner
+   * would refuse to start the task again, so the job fails if there is none.
+   */
+  private async recordSeal(
+    entry: TaskEntry,
+    {attempt}: RunningAttempt,
+  ): Promise<boolean> {
     const {job, owner, index} = entry.task;
-    if (seal !== undefined) {
+    for (;;) {
       try {
-        await owner.recordSeal(job.jobId, index, seal.attempt);
+        await owner.recordSeal(job.jobId, index, attempt);
+        return true;
       } catch (err) {
         this.options.logger.info('seal-not-recorded', {jobId: job.jobId, err});
-        this.options.dropTask(entry);
-        // Without this record, a later owner would refuse to start the task again.
-        if (owner.active) {
-          owner.failJob(job, {
-            code: 'task-outcome-unknown',
-            detail: 'A start that did not happen could not be recorded.',
-            unknown: true,
-          });
-        }
-        return;
       }
+      if (owner.active || !(await this.waitForLease(entry))) break;
     }
-    if (delayMs > 0) await new Promise(resolve => setTimeout(resolve, delayMs));
-    if (entry.phase !== 'backing-off' || job.settled) return;
-    this.options.requeueTask(entry);
+    this.options.dropTask(entry);
+    if (owner.active) {
+      owner.failJob(job, {
+        code: 'task-outcome-unknown',
+        detail: 'A start that did not happen could not be recorded.',
+        unknown: true,
+      });
+    }
+    return false;
   }
 }
+
+function sleep(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
