Order operators' evacuations by the revision that they read

Cause: requests of operators carry no sequence number. One that a paused or slow instance handles late could undo a newer one that was acknowledged. LeaderClient starts no attempt of a call that is not wanted any more.

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,4 +1,10 @@
 export type {CallObstacle, CallOutcome} from './instance/call_outcome.js';
+export {
+  type EvacuationOutcome,
+  type EvacuationRequest,
+  EvacuationRequests,
+  type EvacuationRequestsOptions,
+} from './instance/evacuation_requests.js';
 export {
   LeaderClient,
   type LeaderClientOptions,
--- a/packages/dispatch/src/instance/call_outcome.ts
+++ b/packages/dispatch/src/instance/call_outcome.ts
@@ -14,7 +14,7 @@
 
 /** Result of the last attempt of an unanswered call. */
 export type CallObstacle =
-  /** The time limit passed before the first attempt. */
+  /** The time limit passed, or the call was unwanted, before any attempt. */
   | 'none'
   /** The connection closed, or another leader was elected meanwhile. */
   | 'lost'
@@ -28,3 +28,10 @@
   | 'refused'
   /** Too few voters are connected for a majority. */
   | 'isolated';
+
+/** Whether a reply ends its call; after others the call is retried. */
+export function isFinalReply(
+  reply: Reply,
+): reply is Exclude<Reply, {type: 'not-leader' | 'interrupted'}> {
+  return reply.type !== 'not-leader' && reply.type !== 'interrupted';
+}
--- a/packages/dispatch/src/instance/leader_client.ts
+++ b/packages/dispatch/src/instance/leader_client.ts
@@ -5,7 +5,11 @@
 import type {Call, CallOrigin, GroupView, Reply} from '../messages/calls.js';
 import type {OrderOutcomeMessage} from '../messages/order_messages.js';
 import type {Hello, PeerMessage} from '../messages/peer_messages.js';
-import type {CallObstacle, CallOutcome} from './call_outcome.js';
+import {
+  type CallObstacle,
+  type CallOutcome,
+  isFinalReply,
+} from './call_outcome.js';
 import {ChangeSignal} from './change_signal.js';
 import {LeaderlessPeriod} from './leaderless_period.js';
 
@@ -107,11 +111,14 @@
 
   /**
    * Sends a call to the leader, and retries it if the leader changes. Calls are
-   * idempotent.
+   * idempotent. No attempt starts once the call is no longer wanted.
    */
-  async call(call: Call, timeoutMs: number): Promise<CallOutcome> {
-    const receivedAt = performance.now();
-    const deadline = receivedAt + timeoutMs;
+  async call(
+    call: Call,
+    timeoutMs: number,
+    isWanted = () => true,
+  ): Promise<CallOutcome> {
+    const deadline = performance.now() + timeoutMs;
     let mayHaveRun = false;
     let obstacle: CallObstacle = 'none';
     for (;;) {
@@ -119,11 +126,10 @@
       const isUnreachable =
         this.options.handleLocally === undefined && this.isIsolated;
       if (isUnreachable) obstacle = 'isolated';
-      if (left <= 0 || isUnreachable) {
+      if (left <= 0 || isUnreachable || !isWanted()) {
         return {type: 'unanswered', mayHaveRun, obstacle};
       }
-      const ageMs = performance.now() - receivedAt;
-      const origin = {ageMs, repeated: mayHaveRun};
+      const origin = {ageMs: timeoutMs - left, repeated: mayHaveRun};
       const reply = await this.attempt(call, origin, left);
       if (typeof reply === 'object' && isFinalReply(reply)) {
         // A new leader doesn't know what an earlier leader has started.
@@ -288,12 +294,6 @@
   }
 }
 
-function isFinalReply(
-  reply: Reply,
-): reply is Exclude<Reply, {type: 'not-leader' | 'interrupted'}> {
-  return reply.type !== 'not-leader' && reply.type !== 'interrupted';
-}
-
 function resolveOnTimeout(ms: number): Promise<'timeout'> {
   return new Promise(resolve => setTimeout(() => resolve('timeout'), ms));
 }
--- a/packages/dispatch/src/instance/member.ts
+++ b/packages/dispatch/src/instance/member.ts
@@ -121,8 +121,8 @@
   }
 
   /** Sends a call to the leader, or handles it on the leader itself. */
-  call(call: Call, timeoutMs: number): Promise<CallOutcome> {
-    return this.client.call(call, timeoutMs);
+  call(...call: Parameters<LeaderClient['call']>): Promise<CallOutcome> {
+    return this.client.call(...call);
   }
 
   /** Connects to further members, for example after a change of settings. */
--- a/packages/dispatch/tests/instance/leader_client.test.ts
+++ b/packages/dispatch/tests/instance/leader_client.test.ts
@@ -116,6 +116,19 @@
     expect(getMember(2).calls).to.equal(1);
   });
 
+  // Guards against a change that is sent again after its caller has moved on.
+  it('starts no attempt once the call is not wanted', async () => {
+    getMember(0).broadcastView(createView(1, 2));
+    let isWanted = true;
+    getMember(2).answer = () => {
+      isWanted = false;
+      return {type: 'not-leader'};
+    };
+    const outcome = await client.call(CALL, 10_000, () => isWanted);
+    expect(outcome).to.include({type: 'unanswered', obstacle: 'not-leader'});
+    expect(getMember(2).calls).to.equal(1);
+  });
+
   it('retries a call at the next leader when the connection breaks', async () => {
     getMember(0).broadcastView(createView(1, 1));
     getMember(1).answer = () => {
--- a/packages/dispatch/tests/jobs/dispatch_state.test.ts
+++ b/packages/dispatch/tests/jobs/dispatch_state.test.ts
@@ -1,4 +1,5 @@
 import {expect} from 'chai';
+import {pack, unpack} from 'msgpackr';
 
 import type {Command} from '../../src/jobs/commands.js';
 import {DispatchState} from '../../src/jobs/dispatch_state.js';
@@ -168,4 +169,39 @@
     copy.apply(ends('a', [1], 'done'));
     expect(copy.jobs.get('a')?.outcome).to.equal('completed');
   });
+
+  function evacuate(basedOn: number): Command {
+    const change = {dataCentre: 'north', evacuated: true, at: 7};
+    return {type: 'evacuate', ...change, basedOn, operator: 'ops'};
+  }
+
+  // Guards against an evacuation that ends when a member restarts.
+  it('restores evacuations and their audit trail from a snapshot', () => {
+    state.apply(evacuate(0));
+    const copy = new DispatchState();
+    copy.restore(state.snapshot());
+    expect(copy.evacuations.isEvacuated('north')).to.equal(true);
+    expect(copy.evacuations.history).to.deep.equal(state.evacuations.history);
+    expect(copy.apply(evacuate(0))).to.include({applied: false});
+  });
+
+  // Guards against a failing start after an update of the program.
+  it('restores a snapshot of an earlier program, which has no evacuations', () => {
+    state.apply({type: 'submit', job: job('a')});
+    const content = unpack(state.snapshot()) as Record<string, unknown>;
+    delete content.evacuations;
+    const copy = new DispatchState();
+    copy.apply(evacuate(0));
+    copy.restore(pack(content));
+    expect(copy.evacuations.records).to.deep.equal([]);
+    expect(copy.jobs.has('a')).to.equal(true);
+  });
+
+  it('reports each change of an evacuation once', () => {
+    const reported: boolean[] = [];
+    state.onEvacuation = ({evacuated}) => reported.push(evacuated);
+    state.apply(evacuate(0));
+    state.apply(evacuate(0));
+    expect(reported).to.deep.equal([true]);
+  });
 });
