Record evacuations of data centres in the control log

Operators could drain one instance, but not order that a data centre is emptied. The new command set-evacuated evacuates or readmits a data centre. It is applied once per request id, must be based on the last order for the data centre unless it orders the state in force, and leaves an audit entry.

--- a/packages/coordination/src/control/control_messages.ts
+++ b/packages/coordination/src/control/control_messages.ts
@@ -50,6 +50,21 @@
   readonly atMs: number;
 }
 
+/** Evacuates or readmits a data centre. */
+export interface SetEvacuatedCommand {
+  readonly type: 'set-evacuated';
+  readonly dataCentre: string;
+  readonly evacuated: boolean;
+  /**
+   * Revision of the last order for the data centre that this one is based on; 0
+   * when there was none.
+   */
+  readonly baseRevision: number;
+  readonly operator: string;
+  readonly requestId: string;
+  readonly atMs: number;
+}
+
 /** Voter names of one record group, as derived from the settings. */
 export interface RecordGroupDefinition {
   /** `<dataCentre>.<group>`. */
@@ -73,6 +88,7 @@
   | RegisterInstanceCommand
   | AbandonGroupCommand
   | SetDrainingCommand
+  | SetEvacuatedCommand
   | DefineGroupsCommand;
 
 /** Identifies the change that produced a revision. */
@@ -92,6 +108,7 @@
   | 'no-such-revision'
   | 'request-id-reused'
   | 'unknown-instance'
+  | 'unknown-data-centre'
   | 'old-incarnation'
   | 'unknown-group'
   | 'old-generation'
--- a/packages/coordination/src/control/control_state.ts
+++ b/packages/coordination/src/control/control_state.ts
@@ -1,16 +1,11 @@
 /** State machine of the control log. */
-import {
-  assertNever,
-  type AuditEntry,
-  type AuditPage,
-  type Policy,
-} from '@mustardferry/model';
+import {assertNever, type AuditPage, type Policy} from '@mustardferry/model';
 import {pack, unpack} from 'msgpackr';
 
 import {SnapshotFormatError} from '../errors.js';
 import {StateMachine} from '../replicated_log/state_machine.js';
 import {checkAnswers, invalid} from './answers_check.js';
-import {formatResultDetail} from './audit_detail.js';
+import {describeChange} from './audit_detail.js';
 import {AuditTail, type AuditTailSnapshot} from './audit_tail.js';
 import type {
   AbandonGroupCommand,
@@ -23,8 +18,10 @@
   RegisteredInstance,
   RegisterInstanceCommand,
   SetDrainingCommand,
+  SetEvacuatedCommand,
   TeamAnswers,
 } from './control_messages.js';
+import {type EvacuationRecord, Evacuations} from './evacuations.js';
 import {type InstanceEntry, InstanceRegistry} from './instance_registry.js';
 import {RecordGroups} from './record_groups.js';
 import {
@@ -41,6 +38,8 @@
   readonly answers: readonly TeamAnswers[];
   readonly instances: readonly InstanceEntry[];
   readonly groups: readonly RecordGroupView[];
+  /** Absent when no data centre was ever evacuated, and from older programs. */
+  readonly evacuations?: readonly EvacuationRecord[];
   readonly requests: readonly RememberedRequest[];
   readonly audit: AuditTailSnapshot;
 }
@@ -58,12 +57,14 @@
 
 /**
  * Holds the answers of all teams, the policy generated from them, the
- * registered instances, the record groups and the newest audit entries.
+ * registered instances, the record groups, the evacuated data centres and the
+ * newest audit entries.
  */
 export class ControlState extends StateMachine<ControlCommand, ControlResult> {
   private answersByTeam = new Map<string, TeamAnswers>();
   private instanceRegistry = new InstanceRegistry();
   private recordGroups = new RecordGroups();
+  private evacuationTable = new Evacuations();
   private requests = new RequestHistory();
   private audit = new AuditTail();
   private revision = 0;
@@ -81,6 +82,8 @@
         );
       case 'set-draining':
         return this.applyOnce(command, () => this.setDraining(command, index));
+      case 'set-evacuated':
+        return this.applyOnce(command, () => this.setEvacuated(command, index));
       case 'register-instance':
         return this.registerInstance(command, index);
       case 'abandon-group':
@@ -93,12 +96,14 @@
   }
 
   override snapshot(): Uint8Array {
+    const evacuations = this.evacuationTable.list();
     const state: ControlSnapshot = {
       format: SNAPSHOT_FORMAT,
       revision: this.revision,
       answers: [...this.answersByTeam.values()],
       instances: this.instanceRegistry.snapshot(),
       groups: this.recordGroups.list(),
+      ...(evacuations.length === 0 ? {} : {evacuations}),
       requests: this.requests.snapshot(),
       audit: this.audit.snapshot(),
     };
@@ -114,6 +119,7 @@
     this.answersByTeam = new Map(state.answers.map(each => [each.team, each]));
     this.instanceRegistry = new InstanceRegistry(state.instances);
     this.recordGroups = new RecordGroups(state.groups);
+    this.evacuationTable = new Evacuations(state.evacuations);
     this.requests = new RequestHistory(state.requests);
     this.audit = new AuditTail(state.audit);
     this.revision = state.revision;
@@ -146,6 +152,24 @@
     return this.recordGroups.get(group);
   }
 
+  /** Last evacuation orders, sorted by data centre. */
+  evacuations(): readonly EvacuationRecord[] {
+    return this.evacuationTable.list();
+  }
+
+  /** Last evacuation order for a data centre. */
+  evacuation(dataCentre: string): EvacuationRecord | undefined {
+    return this.evacuationTable.get(dataCentre);
+  }
+
+  /** Whether a record group or a registered instance is in the data centre. */
+  knowsDataCentre(dataCentre: string): boolean {
+    return (
+      this.recordGroups.hasDataCentre(dataCentre) ||
+      this.instanceRegistry.list().some(each => each.dataCentre === dataCentre)
+    );
+  }
+
   get lastAuditIndex(): number {
     return this.audit.lastIndex;
   }
@@ -208,55 +232,27 @@
     return result;
   }
 
+  private setEvacuated(
+    command: SetEvacuatedCommand,
+    index: number,
+  ): FirstControlResult {
+    const {dataCentre} = command;
+    const result = this.knowsDataCentre(dataCentre)
+      ? this.evacuationTable.check(command, index)
+      : invalid('unknown-data-centre', dataCentre);
+    this.recordChange(command, result);
+    if (result.outcome === 'accepted') {
+      this.evacuationTable.store(command, result.revision);
+    }
+    return result;
+  }
+
   /**
    * Appends an audit entry. Must run before the change takes effect, because
    * the entry contains the previous state.
    */
   private recordChange(command: OperatorCommand, result: ControlResult): void {
-    const {atMs, operator, requestId} = command;
-    const requestFields = {
-      atMs,
-      operator,
-      requestId,
-      detail: formatResultDetail(result),
-    };
-    this.audit.append({
-      ...requestFields,
-      ...this.describeChange(command, result),
-    });
-  }
-
-  private describeChange(
-    command: OperatorCommand,
-    result: ControlResult,
-  ): Pick<
-    AuditEntry,
-    'action' | 'team' | 'fromRevision' | 'toRevision' | 'before' | 'after'
-  > {
-    const revision =
-      result.outcome === 'accepted' ? result.revision : undefined;
-    if (command.type === 'set-draining') {
-      const {instance, draining} = command;
-      const before = this.instanceRegistry.get(instance)?.draining ?? false;
-      return {
-        action: 'drain',
-        team: '',
-        fromRevision: 0,
-        toRevision: revision ?? 0,
-        before: `${instance} draining=${before}`,
-        after: `${instance} draining=${draining}`,
-      };
-    }
-    const current = this.answersByTeam.get(command.team);
-    const fromRevision = current?.revision ?? 0;
-    return {
-      action: revision === undefined ? 'answers-refused' : 'answers-accepted',
-      team: command.team,
-      fromRevision,
-      toRevision: revision ?? fromRevision,
-      before: current?.text ?? '',
-      after: command.text,
-    };
+    this.audit.append(describeChange(command, result, this));
   }
 
   private registerInstance(
--- a/packages/coordination/src/control/record_groups.ts
+++ b/packages/coordination/src/control/record_groups.ts
@@ -33,6 +33,13 @@
     return [...this.views.values()];
   }
 
+  /** Whether a group belongs to the data centre; see `RecordGroupDefinition`. */
+  hasDataCentre(dataCentre: string): boolean {
+    return this.list().some(
+      ({group}) => group.slice(0, group.lastIndexOf('.')) === dataCentre,
+    );
+  }
+
   /** Adds all groups or none; returns why they are refused, or undefined. */
   defineGroups(
     groups: readonly RecordGroupDefinition[],
--- a/packages/coordination/src/control/request_history.ts
+++ b/packages/coordination/src/control/request_history.ts
@@ -1,11 +1,14 @@
 /** Results of operator requests, so that a resent request changes nothing. */
 import {createHash} from 'node:crypto';
 
+import {assertNever} from '@mustardferry/model';
+
 import type {
   AcceptAnswersCommand,
   ControlResult,
   FirstControlResult,
   SetDrainingCommand,
+  SetEvacuatedCommand,
 } from './control_messages.js';
 
 /**
@@ -16,7 +19,8 @@
 export const MAX_REMEMBERED_REQUESTS = 10_000;
 
 /** Commands that carry a request id. */
-export type OperatorCommand = AcceptAnswersCommand | SetDrainingCommand;
+export type OperatorCommand =
+  AcceptAnswersCommand | SetDrainingCommand | SetEvacuatedCommand;
 
 /** A remembered request, also stored in snapshots. */
 export interface RememberedRequest {
@@ -26,19 +30,30 @@
   readonly first: FirstControlResult;
 }
 
+function listContent(command: OperatorCommand): readonly unknown[] {
+  switch (command.type) {
+    case 'accept-answers': {
+      const {type, operator, team, text, baseRevision} = command;
+      return [type, operator, team, text, baseRevision];
+    }
+    case 'set-draining': {
+      const {type, operator, instance, draining} = command;
+      return [type, operator, instance, draining];
+    }
+    case 'set-evacuated': {
+      // Without the base revision: an instance may derive it from its state,
+      // which differs when the request is sent again.
+      const {type, operator, dataCentre, evacuated} = command;
+      return [type, operator, dataCentre, evacuated];
+    }
+    default:
+      return assertNever(command);
+  }
+}
+
 function computeDigest(command: OperatorCommand): string {
-  const content =
-    command.type === 'accept-answers'
-      ? [
-          command.type,
-          command.operator,
-          command.team,
-          command.text,
-          command.baseRevision,
-        ]
-      : [command.type, command.operator, command.instance, command.draining];
   return createHash('sha256')
-    .update(JSON.stringify(content))
+    .update(JSON.stringify(listContent(command)))
     .digest('base64url');
 }
 
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -24,9 +24,11 @@
   type RegisteredInstance,
   type RegisterInstanceCommand,
   type SetDrainingCommand,
+  type SetEvacuatedCommand,
   type TeamAnswers,
 } from './control/control_messages.js';
 export {ControlState} from './control/control_state.js';
+export type {EvacuationRecord} from './control/evacuations.js';
 export {deriveRecordGroupDefinitions} from './control/group_formation.js';
 export {MAX_REMEMBERED_REQUESTS} from './control/request_history.js';
 export {AuditGapError, LogStorageError, SnapshotFormatError} from './errors.js';
--- a/packages/model/src/api.ts
+++ b/packages/model/src/api.ts
@@ -110,7 +110,8 @@
   readonly atMs: number;
   readonly operator: string;
   readonly requestId: string;
-  readonly action: 'answers-accepted' | 'answers-refused' | 'drain';
+  readonly action:
+    'answers-accepted' | 'answers-refused' | 'drain' | 'evacuation';
   readonly team: string;
   readonly fromRevision: number;
   readonly toRevision: number;
@@ -130,6 +131,29 @@
   readonly lastIndex: number;
 }
 
+/** Response body of `POST` and `DELETE /v1/evacuations/:dataCentre`. */
+export interface EvacuationAccepted {
+  readonly dataCentre: string;
+  /** The state that was ordered. */
+  readonly evacuated: boolean;
+  /** Revision of the order in force; 0 when there was none. */
+  readonly revision: number;
+  readonly requestId: string;
+  /** Whether this is the stored reply to an earlier identical request. */
+  readonly repeated: boolean;
+}
+
+/** State of a data centre, as listed by `GET /v1/evacuations`. */
+export interface EvacuationView {
+  readonly dataCentre: string;
+  readonly evacuated: boolean;
+  /** Revision of the last order; 0 when there was none. */
+  readonly revision: number;
+  /** Epoch milliseconds and operator of the last order, if there was one. */
+  readonly changedAtMs?: number;
+  readonly operator?: string;
+}
+
 /** Promised and received capacity of one team, for `GET /v1/shares`. */
 export interface TeamShare {
   readonly team: string;
@@ -154,7 +178,8 @@
 /** An upstream as seen by one instance, as listed by `GET /v1/upstreams`. */
 export interface UpstreamView {
   readonly announcement: UpstreamAnnouncement;
-  readonly state: 'available' | 'leaving' | 'ejected' | 'expired';
+  /** `evacuated` while the data centre of the upstream is evacuated. */
+  readonly state: 'available' | 'leaving' | 'ejected' | 'evacuated' | 'expired';
   readonly holder: string;
   readonly lastRenewalMsAgo: number;
   readonly creditsHere: number;
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -4,6 +4,8 @@
   AuditEntry,
   AuditPage,
   ConfigView,
+  EvacuationAccepted,
+  EvacuationView,
   ExplainStep,
   InstanceView,
   JobView,
