Start no task in an evacuated data centre

Evacuations were recorded, but the dispatchers of the instances ignored them. The pool of upstreams now holds the one filter for starts: upstreams of an evacuated data centre are no candidates for new tasks, retries and hedges, and a start that was recorded before the evacuation is sealed and queued again instead of being sent.

A new job that fits only there is refused at once with the code data-centre-evacuated, instead of waiting for another upstream. A queued one is refused while a submitter waits for it, and otherwise stays until the readmission. The explanation names the data centre, and the log has the events evacuation-started and evacuation-ended.

--- a/packages/decisions/src/explain/reasons.ts
+++ b/packages/decisions/src/explain/reasons.ts
@@ -20,6 +20,8 @@
   'upstream-may-announce': 'no suitable upstream has announced itself yet',
   'no-upstream-large-enough': 'the task is larger than every upstream',
   'kind-not-offered': 'no upstream offers the kind',
+  'data-centre-evacuated':
+    'an operator has evacuated the data centre of the upstreams for the task',
   'quota-zero': 'the quota of the team does not admit the task',
   'never-repeated': 'the kind never repeats and the task may have started',
   'retry-allowed': 'the budget covers another attempt',
--- a/packages/decisions/src/limits/runnability.ts
+++ b/packages/decisions/src/limits/runnability.ts
@@ -11,6 +11,8 @@
   readonly quota: Resources;
   /** Distinct capacities of the upstreams that offer the kind. */
   readonly capacities: readonly Resources[];
+  /** Evacuated data centre whose upstreams would be able to run the task. */
+  readonly evacuatedDataCentre?: string | undefined;
   /** When the job was admitted, or when it arrived. */
   readonly sinceMs: number;
   /** How long a suitable upstream may take to announce itself. */
@@ -38,14 +40,15 @@
 }
 
 /**
- * Checks whether a task can run. A small quota excludes it at once, a missing
- * upstream only after `unknownUpstreamWaitMs`: no list of all upstreams exists.
+ * Checks whether a task can run. A small quota or an evacuation excludes it at
+ * once, a missing upstream only after `unknownUpstreamWaitMs`: no list of all
+ * upstreams exists.
  */
 export function checkRunnability(
   input: RunnabilityInput,
   now: number,
 ): Runnability {
-  const {team, resources, quota, capacities} = input;
+  const {team, resources, quota, capacities, evacuatedDataCentre} = input;
   if (!fitsInto(resources, quota)) {
     return {
       type: 'never',
@@ -57,6 +60,10 @@
   if (capacities.some(capacity => fitsInto(resources, capacity))) {
     return {type: 'runnable', reason: 'capacity-available'};
   }
+  if (evacuatedDataCentre !== undefined) {
+    const detail = `data centre ${evacuatedDataCentre} is evacuated`;
+    return {type: 'never', reason: 'data-centre-evacuated', detail};
+  }
   const untilMs = input.sinceMs + input.unknownUpstreamWaitMs;
   if (now < untilMs) {
     return {type: 'wait', untilMs, reason: 'upstream-may-announce'};
--- a/packages/decisions/tests/limits/runnability.test.ts
+++ b/packages/decisions/tests/limits/runnability.test.ts
@@ -25,6 +25,22 @@
       100,
       {type: 'never', reason: 'quota-zero', answer: 'a.team.quota'},
     ],
+    [
+      'rejects a task at once whose only upstreams are evacuated',
+      {capacities: [], evacuatedDataCentre: 'b'},
+      100,
+      {
+        type: 'never',
+        reason: 'data-centre-evacuated',
+        detail: 'data centre b is evacuated',
+      },
+    ],
+    [
+      'accepts a task that fits elsewhere in spite of an evacuation',
+      {evacuatedDataCentre: 'b'},
+      100,
+      {type: 'runnable'},
+    ],
     [
       'waits for a kind that may be announced',
       {capacities: []},
--- a/packages/entry/src/control/control_service.ts
+++ b/packages/entry/src/control/control_service.ts
@@ -114,6 +114,12 @@
     return this.state.policy;
   }
 
+  /** Names of the data centres in which no task may start. */
+  get evacuatedDataCentres(): readonly string[] {
+    const evacuated = this.state.evacuations().filter(each => each.evacuated);
+    return evacuated.map(({dataCentre}) => dataCentre);
+  }
+
   get role(): 'leader' | 'follower' | 'learner' {
     const role = this.log?.status().role;
     if (role === undefined || role === 'learner') return 'learner';
--- a/packages/entry/src/dispatch/admission.ts
+++ b/packages/entry/src/dispatch/admission.ts
@@ -2,6 +2,7 @@
 import {
   checkRunnability,
   decideAdmission,
+  type ReasonCode,
   type Runnability,
   type SharingPolicy,
 } from '@mustardferry/decisions';
@@ -27,6 +28,19 @@
 
 const RECHECK_PERIOD_MS = 50;
 
+/** Error codes of reasons why a task can't run. */
+const REFUSAL_CODES: Partial<Record<ReasonCode, ProblemCode>> = {
+  'kind-not-offered': 'no-upstream-for-kind',
+  'quota-zero': 'quota-zero',
+  'data-centre-evacuated': 'data-centre-evacuated',
+};
+
+/** Codes without `Retry-After`, since only an operator ends their cause. */
+const UNTIMED_CODES: ReadonlySet<ProblemCode> = new Set([
+  'quota-zero',
+  'data-centre-evacuated',
+]);
+
 /** Checks quota, upstream capacity, queue limits and the expected wait. */
 export class Admission {
   constructor(private readonly options: AdmissionOptions) {}
@@ -79,13 +93,15 @@
   ): Runnability {
     const {pool, unknownUpstreamWaitMs} = this.options;
     const {team, kind} = req.job;
+    const needed = resources ?? kind.resources;
     return checkRunnability(
       {
         team: team.team,
         kind: kind.kind,
-        resources: resources ?? kind.resources,
+        resources: needed,
         quota: team.quota,
         capacities: pool.getCapacities(kind.kind),
+        evacuatedDataCentre: pool.findEvacuated(kind.kind, needed),
         sinceMs: pool.lastRemovalAtMs,
         unknownUpstreamWaitMs,
       },
@@ -98,14 +114,9 @@
     never: Extract<Runnability, {type: 'never'}>,
   ): AdmissionVerdict {
     const {reason, detail, answer} = never;
-    const code: ProblemCode =
-      reason === 'kind-not-offered'
-        ? 'no-upstream-for-kind'
-        : reason === 'quota-zero'
-          ? 'quota-zero'
-          : 'no-upstream-large-enough';
+    const code = REFUSAL_CODES[reason] ?? 'no-upstream-large-enough';
     const {jobId} = req;
-    const retry = code === 'quota-zero' ? {} : {retryAfterSeconds: 1};
+    const retry = UNTIMED_CODES.has(code) ? {} : {retryAfterSeconds: 1};
     return {
       problem: problem(code, `${detail}.`, {jobId, ...retry}),
       reason,
--- a/packages/entry/src/dispatch/attempt_follower.ts
+++ b/packages/entry/src/dispatch/attempt_follower.ts
@@ -76,7 +76,11 @@
       atMs: attempt.startedAtMs,
     });
     if (result?.outcome === 'started' && owner.active && !job.settled) {
-      this.sendAttempt(entry, attempt);
+      if (this.options.pool.allowsStart(attempt.upstream)) {
+        this.sendAttempt(entry, attempt);
+      } else {
+        this.withdrawStart(entry, attempt);
+      }
       return;
     }
     this.releaseAttempt(entry, attempt);
@@ -106,6 +110,19 @@
       .then(outcome => this.handleOutcome(entry, attempt, outcome));
   }
 
+  /** Queues a task again whose upstream was evacuated before it was sent. */
+  private withdrawStart(entry: TaskEntry, attempt: RunningAttempt): void {
+    this.releaseAttempt(entry, attempt);
+    entry.task.job.explain({
+      atMs: Date.now(),
+      taskId: entry.queued.taskId,
+      step: 'retried',
+      reason: 'data-centre-evacuated',
+      detail: `not sent to ${attempt.upstream}`,
+    });
+    void this.retry(entry, 0, attempt);
+  }
+
   private releaseAttempt(entry: TaskEntry, attempt: RunningAttempt): void {
     this.options.ledger.releaseAttempt(entry, attempt, Date.now());
     this.options.onSlotFreed();
--- a/packages/entry/src/dispatch/dispatch_parts.ts
+++ b/packages/entry/src/dispatch/dispatch_parts.ts
@@ -19,6 +19,7 @@
 import {AttemptLauncher} from './attempt_launcher.js';
 import type {CreditUse} from './attempt_ledger.js';
 import {Dispatcher} from './dispatcher.js';
+import {EvacuationMonitor} from './evacuation_monitor.js';
 import {LeaseRenewer} from './lease_renewer.js';
 import {OutcomePolicy} from './outcome_policy.js';
 import {createHedging, createRouting, createSharing} from './policies.js';
@@ -42,13 +43,16 @@
   readonly shares: ShareMeter;
   readonly monitor: UpstreamMonitor;
   setPolicy(policy: Policy): void;
+  /** Replaces the data centres in which no task may start. */
+  setEvacuated(dataCentres: readonly string[]): void;
   close(): void;
 }
 
 function sumCapacity(pool: UpstreamPool): Resources {
   let total = NO_RESOURCES;
-  for (const {capacity} of pool.listAnnouncements())
-    total = addResources(total, capacity);
+  for (const {capacity, dataCentre} of pool.listAnnouncements()) {
+    if (!pool.isEvacuated(dataCentre)) total = addResources(total, capacity);
+  }
   return total;
 }
 
@@ -84,6 +88,7 @@
     renewer,
     shares,
   });
+  const evacuations = createEvacuationMonitor(options, scheduler);
   return {
     scheduler,
     sharing,
@@ -93,6 +98,7 @@
       sharing.setPolicy(next);
       budget.setPolicy(next);
     },
+    setEvacuated: dataCentres => evacuations.setEvacuated(dataCentres),
     close: () => {
       scheduler.close();
       monitor.close();
@@ -102,6 +108,14 @@
   };
 }
 
+function createEvacuationMonitor(
+  {pool, logger}: DispatchOptions,
+  scheduler: Dispatcher,
+): EvacuationMonitor {
+  const onChange = (): void => scheduler.recheckQueuedTasks();
+  return new EvacuationMonitor({pool, logger, onChange});
+}
+
 interface CommonParts {
   readonly pool: UpstreamPool;
   readonly estimator: RunTimeEstimator;
--- a/packages/entry/src/dispatch/dispatcher.ts
+++ b/packages/entry/src/dispatch/dispatcher.ts
@@ -27,6 +27,7 @@
 import {Hedger} from './hedger.js';
 import {JobProgress} from './job_progress.js';
 import type {OutcomePolicy} from './outcome_policy.js';
+import {StrandedTasks} from './stranded_tasks.js';
 import type {RunningAttempt, TaskEntry} from './task_entry.js';
 import {TaskTable} from './task_table.js';
 import type {UpstreamMonitor} from './upstream_monitor.js';
@@ -62,12 +63,14 @@
   private readonly ledger: AttemptLedger;
   private readonly follower: AttemptFollower;
   private readonly hedger: Hedger;
+  private readonly stranded: StrandedTasks;
   private dispatchScheduled = false;
   private retryTimer: NodeJS.Timeout | undefined;
   private closed = false;
 
   constructor(private readonly options: DispatcherOptions) {
     super();
+    this.stranded = new StrandedTasks(options.pool);
     this.ledger = new AttemptLedger({...options, progress: this.progress});
     this.follower = new AttemptFollower({
       ...options,
@@ -149,6 +152,12 @@
     });
   }
 
+  /** Applies a change of the evacuated data centres to queued tasks. */
+  recheckQueuedTasks(): void {
+    for (const entry of this.tasks.listEntries()) this.stranded.add(entry);
+    this.requestDispatch();
+  }
+
   close(): void {
     this.closed = true;
     clearTimeout(this.retryTimer);
@@ -171,11 +180,13 @@
   private enqueueTask(entry: TaskEntry): void {
     entry.phase = 'queued';
     this.options.sharing.enqueue(entry.queued, Date.now());
+    this.stranded.add(entry);
     this.requestDispatch();
   }
 
   private dispatchTasks(): void {
     const {sharing, pool} = this.options;
+    this.stranded.check(Date.now());
     let starts = 0;
     for (; starts < MAX_STARTS_PER_TURN; starts++) {
       const now = Date.now();
--- a/packages/entry/src/http/problems.ts
+++ b/packages/entry/src/http/problems.ts
@@ -48,6 +48,11 @@
     'not-run',
     'No upstream is large enough',
   ),
+  'data-centre-evacuated': entry(
+    503,
+    'not-run',
+    'The data centre is evacuated',
+  ),
   draining: entry(503, 'not-run', 'The instance is shutting down'),
   'not-ready': entry(503, 'not-run', 'The instance is not ready'),
   'home-unreachable': entry(
@@ -74,8 +79,9 @@
   'revision-conflict': entry(
     412,
     'not-run',
-    'The answers changed since the given revision',
+    'A newer change was accepted since the given revision',
   ),
+  'unknown-data-centre': entry(404, 'not-run', 'No such data centre'),
   'answers-invalid': entry(422, 'not-run', 'The answers are invalid'),
   'control-unavailable': entry(
     503,
--- a/packages/entry/src/instance_parts.ts
+++ b/packages/entry/src/instance_parts.ts
@@ -150,6 +150,7 @@
   private createPool(): UpstreamPool {
     return new UpstreamPool({
       token: this.options.settings.tokens.upstreams[0],
+      dataCentre: this.options.settings.dataCentre,
       instancesInDataCentre: this.localInstances.length,
     });
   }
@@ -215,6 +216,7 @@
   private controlChanged(): void {
     const {policy} = this.control;
     this.dispatch.setPolicy(policy);
+    this.dispatch.setEvacuated(this.control.evacuatedDataCentres);
     this.slots.setPolicy(policy);
     this.groups.reconcile();
     this.network.broadcastStatus();
--- a/packages/entry/src/jobs/job_owner.ts
+++ b/packages/entry/src/jobs/job_owner.ts
@@ -130,12 +130,14 @@
     const known = this.options.state.get(jobId);
     if (known !== undefined) {
       if (known.digest !== digest) return conflictReply(jobId);
+      this.jobs.get(jobId)?.noteSubmitter(req.waitMs);
       return this.reply(jobId, req.waitMs);
     }
     const pending = this.admitting.join(jobId, digest, () => this.admit(req));
     if (pending.digest !== digest) return conflictReply(jobId);
     const result = await pending.admitted;
     if (result.type === 'reply') return result.reply;
+    this.jobs.get(jobId)?.noteSubmitter(req.waitMs);
     return this.reply(jobId, req.waitMs);
   }
 
@@ -244,17 +246,14 @@
     this.deadlines.clearTimer(job.jobId);
     const stored = await this.recordUntilLost(job, answer);
     if (stored === undefined) return;
-    addJobStep(job, 'answered', stored.outcome);
-    this.options.explanations.storeSteps(job.jobId, job.steps);
-    this.options.metrics.increment('jobs.answered', 1, {
-      team: job.record.team,
-      outcome: stored.outcome,
-    });
-    this.options.metrics.timing(
-      'jobs.response_ms',
-      Date.now() - job.record.admittedAtMs,
-      {team: job.record.team, kind: job.record.kind},
-    );
+    const {outcome} = stored;
+    addJobStep(job, 'answered', outcome);
+    const {explanations, metrics} = this.options;
+    explanations.storeSteps(job.jobId, job.steps);
+    const {team, kind, admittedAtMs} = job.record;
+    metrics.increment('jobs.answered', 1, {team, outcome});
+    const tookMs = Date.now() - admittedAtMs;
+    metrics.timing('jobs.response_ms', tookMs, {team, kind});
     this.jobs.delete(job.jobId);
     job.publishAnswer(stored);
   }
--- a/packages/entry/src/jobs/running_job.ts
+++ b/packages/entry/src/jobs/running_job.ts
@@ -50,6 +50,7 @@
   private published: JobAnswer | undefined;
   private released = false;
   private readonly takenOver: boolean;
+  private submitterWaitsUntilMs = 0;
 
   constructor(options: RunningJobOptions) {
     this.takenOver = options.takenOver;
@@ -86,6 +87,20 @@
     return this.released && this.published === undefined;
   }
 
+  /**
+   * Notes that a caller submitted the job, or joined it, and waits for its
+   * answer. Callers that only ask for its state don't count.
+   */
+  noteSubmitter(waitMs: number): void {
+    const untilMs = Date.now() + waitMs;
+    this.submitterWaitsUntilMs = Math.max(this.submitterWaitsUntilMs, untilMs);
+  }
+
+  /** Whether a caller that submitted the job still waits for its answer. */
+  isAwaitedBySubmitter(now: number): boolean {
+    return now < this.submitterWaitsUntilMs;
+  }
+
   get steps(): readonly ExplainStep[] {
     return this.explainSteps;
   }
--- a/packages/entry/src/upstreams/upstream_service.ts
+++ b/packages/entry/src/upstreams/upstream_service.ts
@@ -121,10 +121,11 @@
     const {pool, slots} = this.options;
     const key = upstreamKey(announcement);
     const candidate = pool.candidates.get(key);
-    const ejected = state === 'available' && candidate?.available === false;
+    const unused = state === 'available' && candidate?.available === false;
+    const reason = pool.allowsStart(key) ? 'ejected' : 'evacuated';
     return {
       announcement,
-      state: ejected ? 'ejected' : state,
+      state: unused ? reason : state,
       holder,
       lastRenewalMsAgo: Math.round(performance.now() - confirmedAtMs),
       creditsHere: slots.getHeldCredits(key),
--- a/packages/entry/tests/dispatch/admission.test.ts
+++ b/packages/entry/tests/dispatch/admission.test.ts
@@ -62,6 +62,42 @@
     });
   }
 
+  const evacuations = [
+    {
+      name: 'refuses at once, while an upstream of its kind is evacuated',
+      upstreams: [upstream()],
+      code: 'data-centre-evacuated',
+    },
+    {
+      name: 'refuses at once, while its upstreams can not announce themselves elsewhere',
+      upstreams: [],
+      code: 'data-centre-evacuated',
+    },
+    {
+      name: 'admits, while an upstream of another data centre can run it',
+      upstreams: [upstream(), upstream({worker: 'w2', dataCentre: 'dc2'})],
+      code: undefined,
+    },
+  ];
+  for (const {name, upstreams, code} of evacuations) {
+    it(`does not let a caller wait for an evacuated data centre: ${name}`, async () => {
+      const harness = new Harness(
+        upstreams.map((each, i) => ({...each, incarnation: i})),
+      );
+      harness.evacuate('dc1');
+      const verdict = await harness.dispatcher.admit({
+        jobId: JOB_ID,
+        job: {team: TEAM, kind: ONCE},
+        tasks: [TASK],
+      });
+      expect(Date.now()).to.equal(0);
+      expect(verdict.problem?.code).to.equal(code);
+      expect(verdict.problem?.outcome).to.equal(code && 'not-run');
+      expect(verdict.reason).to.equal(code ?? 'admitted');
+      harness.close();
+    });
+  }
+
   it('admits a job whose upstream announces itself within the grace period', async () => {
     const harness = new Harness([]);
     let verdict: AdmissionVerdict | undefined;
--- a/packages/entry/tests/dispatch/attempt_ledger.test.ts
+++ b/packages/entry/tests/dispatch/attempt_ledger.test.ts
@@ -15,7 +15,11 @@
 const TASKS = 6;
 
 function setUp() {
-  const pool = new UpstreamPool({token: undefined, instancesInDataCentre: 1});
+  const pool = new UpstreamPool({
+    token: undefined,
+    dataCentre: 'dc1',
+    instancesInDataCentre: 1,
+  });
   const ledger = new CreditLedger();
   const sharing = new WeightedFairSharing();
   const progress = new JobProgress();
--- a/packages/entry/tests/dispatch/harness.ts
+++ b/packages/entry/tests/dispatch/harness.ts
@@ -21,6 +21,7 @@
 import {Admission} from '../../src/dispatch/admission.js';
 import {AttemptLauncher} from '../../src/dispatch/attempt_launcher.js';
 import {Dispatcher} from '../../src/dispatch/dispatcher.js';
+import {EvacuationMonitor} from '../../src/dispatch/evacuation_monitor.js';
 import {LeaseRenewer} from '../../src/dispatch/lease_renewer.js';
 import {OutcomePolicy} from '../../src/dispatch/outcome_policy.js';
 import {UpstreamMonitor} from '../../src/dispatch/upstream_monitor.js';
@@ -72,7 +73,11 @@
 export class Harness {
   /** Teams of the refused jobs. */
   readonly refusedTeams: string[] = [];
-  readonly pool = new FakePool({token: undefined, instancesInDataCentre: 1});
+  readonly pool = new FakePool({
+    token: undefined,
+    dataCentre: 'dc1',
+    instancesInDataCentre: 1,
+  });
   readonly ledger = new CreditLedger();
   readonly sharing = new WeightedFairSharing();
   readonly budget = new RetryBudget();
@@ -80,6 +85,11 @@
   readonly monitor: UpstreamMonitor;
   readonly outcomes: OutcomePolicy;
   readonly dispatcher: Dispatcher;
+  private readonly evacuations = new EvacuationMonitor({
+    pool: this.pool,
+    logger: LOGGER,
+    onChange: () => this.dispatcher.recheckQueuedTasks(),
+  });
   private readonly renewer = new LeaseRenewer(3_000, LOGGER);
 
   constructor(upstreams: readonly UpstreamAnnouncement[] = [upstream()]) {
@@ -133,6 +143,11 @@
     return this.pool.sent.filter(message => message.call === call);
   }
 
+  /** Replaces the evacuated data centres. */
+  evacuate(...dataCentres: readonly string[]): void {
+    this.evacuations.setEvacuated(dataCentres);
+  }
+
   close(): void {
     this.dispatcher.close();
     this.monitor.close();
--- a/packages/entry/tests/jobs/job_owner.test.ts
+++ b/packages/entry/tests/jobs/job_owner.test.ts
@@ -104,6 +104,20 @@
     expect(setup.count('finish')).to.equal(1);
   });
 
+  it('takes only submissions that wait for callers to refuse in an evacuation', async () => {
+    const {owner, scheduler} = setup;
+    const isAwaited = () =>
+      scheduler.scheduled[0]?.job.isAwaitedBySubmitter(Date.now());
+    void owner.submit(submitReq(ONCE, {waitMs: 0}));
+    await clock.tickAsync(0);
+    void owner.reply(JOB_ID, 1_000);
+    expect(isAwaited()).to.equal(false);
+    void owner.submit(submitReq(ONCE, {waitMs: 1_000}));
+    expect(isAwaited()).to.equal(true);
+    await clock.tickAsync(1_000);
+    expect(isAwaited()).to.equal(false);
+  });
+
   it('starts no task again for a later resubmission', async () => {
     const {owner, scheduler} = setup;
     const first = await owner.submit(submitReq(ONCE, {waitMs: 0}));
--- a/packages/entry/tests/slots/slot_service.test.ts
+++ b/packages/entry/tests/slots/slot_service.test.ts
@@ -66,7 +66,11 @@
       self: {name, incarnation: '1'},
       instances: NAMES,
       network: network as unknown as PeerNetwork,
-      pool: new UpstreamPool({token: undefined, instancesInDataCentre: 3}),
+      pool: new UpstreamPool({
+        token: undefined,
+        dataCentre: 'dc1',
+        instancesInDataCentre: 3,
+      }),
       sharing: sharing as unknown as SlotServiceOptions['sharing'],
       leaseMs: LEASE_MS,
       allocatorName: () => cluster.allocator,
--- a/packages/entry/tests/upstreams/upstream_pool.test.ts
+++ b/packages/entry/tests/upstreams/upstream_pool.test.ts
@@ -11,7 +11,11 @@
 describe('UpstreamPool', () => {
   let pool: UpstreamPool;
   beforeEach(() => {
-    pool = new UpstreamPool({token: undefined, instancesInDataCentre: 3});
+    pool = new UpstreamPool({
+      token: undefined,
+      dataCentre: 'dc1',
+      instancesInDataCentre: 3,
+    });
     pool.add(UPSTREAM);
     pool.candidates.setCredits(KEY, 4);
   });
@@ -57,6 +61,19 @@
     expect(pool.candidates.get(KEY)?.running).to.equal(1);
   });
 
+  it('keeps the limit of an upstream over an evacuation, and its link', () => {
+    const link = pool.getLink(UPSTREAM);
+    pool.setAllowance(KEY, 2);
+    pool.setEvacuated(['dc1']);
+    expect(pool.candidates.hasFreeCredit('posting')).to.equal(false);
+    expect(pool.getCapacities('posting')).to.have.length(0);
+    expect(pool.findEvacuated('posting', USED)).to.equal('dc1');
+    pool.setEvacuated(['dc2']);
+    expect(pool.candidates.freeCredits).to.equal(2);
+    expect(pool.findEvacuated('posting', USED)).to.equal(undefined);
+    expect(pool.getLink(UPSTREAM)).to.equal(link);
+  });
+
   it('separates two incarnations of an upstream', () => {
     const next = upstream({incarnation: 2});
     pool.add(next);
--- a/packages/entry/tests/upstreams/upstream_service.test.ts
+++ b/packages/entry/tests/upstreams/upstream_service.test.ts
@@ -20,6 +20,7 @@
 class Node {
   readonly pool = new UpstreamPool({
     token: undefined,
+    dataCentre: 'dc1',
     instancesInDataCentre: 3,
   });
   readonly monitored = new Set<string>();
