Let operators evacuate data centres through the HTTP interface

The control log held evacuations, but no route ordered them. POST and DELETE /v1/evacuations/{dataCentre} and GET /v1/evacuations are open to the operators of an instance. An order needs a Request-Id; without If-Match it is based on the revision that the instance holds on arrival, so that a late order of a paused instance can't undo a newer one.

--- a/packages/entry/src/http/operator_routes.ts
+++ b/packages/entry/src/http/operator_routes.ts
@@ -14,14 +14,17 @@
   UpstreamView,
 } from '@mustardferry/model';
 import {assertNever} from '@mustardferry/model';
-import type {FastifyInstance, FastifyReply, FastifyRequest} from 'fastify';
+import type {FastifyInstance, FastifyReply} from 'fastify';
 
-import {
-  ControlOutcomeUnknownError,
-  ControlUnavailableError,
-} from '../control/control_errors.js';
 import type {ControlService} from '../control/control_service.js';
 import type {AccessControl} from './access.js';
+import {
+  operatorOf,
+  proposed,
+  requestedRevision,
+  requestIdOf,
+  requireState,
+} from './operator_requests.js';
 import {fail} from './problems.js';
 
 /** Options of the routes. */
@@ -38,7 +41,6 @@
 
 const DEFAULT_AUDIT_LIMIT = 100;
 const MAX_AUDIT_LIMIT = 1_000;
-const MAX_OPERATOR_LENGTH = 128;
 
 interface TeamParams {
   readonly Params: {readonly team: string};
@@ -48,22 +50,6 @@
   readonly Querystring: {readonly after?: string; readonly limit?: string};
 }
 
-/** Revision named by `If-Match`, as sent in the `ETag` of the answers. */
-function baseRevision(req: FastifyRequest): number {
-  const header = req.headers['if-match'];
-  const match = /^"?(\d+)"?$/.exec(header ?? '');
-  if (match === null) {
-    fail('invalid-body', 'If-Match: the revision of the answers is required.');
-  }
-  return Number(match[1]);
-}
-
-function operatorOf(req: FastifyRequest): string {
-  const header = req.headers['operator'];
-  const name = typeof header === 'string' ? header : 'unnamed';
-  return name.slice(0, MAX_OPERATOR_LENGTH);
-}
-
 function parsePolicy(text: unknown, team: string): TeamPolicy {
   if (typeof text !== 'string' || text.trim() === '') {
     return fail('answers-invalid', 'The answers file is empty.');
@@ -76,18 +62,6 @@
   }
 }
 
-function requestIdOf(req: FastifyRequest): string {
-  const header = req.headers['request-id'];
-  if (typeof header !== 'string' || header === '') {
-    fail('invalid-body', 'Request-Id: required, so that a resend is safe.');
-  }
-  // The server replaces an unusable id, and a resend would get another one.
-  if (header !== req.id) {
-    fail('invalid-body', 'Request-Id: at most 128 printable characters.');
-  }
-  return header;
-}
-
 function count(text: string | undefined, otherwise: number): number {
   const value = text === undefined ? otherwise : Number(text);
   if (!Number.isInteger(value) || value < 0) {
@@ -124,34 +98,6 @@
   return {revision: first.revision, repeated};
 }
 
-async function proposed(
-  run: () => Promise<ControlResult>,
-): Promise<ControlResult> {
-  try {
-    return await run();
-  } catch (err) {
-    if (err instanceof ControlUnavailableError) {
-      return fail('control-unavailable', err.message, {retryAfterSeconds: 1});
-    }
-    if (err instanceof ControlOutcomeUnknownError) {
-      return fail(
-        'control-outcome-unknown',
-        `${err.message}; resend with the same Request-Id.`,
-        {retryAfterSeconds: 1},
-      );
-    }
-    throw err;
-  }
-}
-
-/** A state from before a restart may be older than what was shown then. */
-function requireState(control: ControlService): void {
-  if (control.hasState) return;
-  fail('not-ready', 'No confirmed configuration is held yet.', {
-    retryAfterSeconds: 1,
-  });
-}
-
 function sendAnswers(
   res: FastifyReply,
   control: ControlService,
@@ -186,7 +132,7 @@
         team,
         text: req.body as string,
         policy,
-        baseRevision: baseRevision(req),
+        baseRevision: requestedRevision(req),
         operator: operatorOf(req),
         requestId,
         atMs: Date.now(),
--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -2,7 +2,7 @@
 import {Server as NetServer} from 'node:net';
 
 import {PeerServer} from '@mustardferry/links';
-import type {InstanceSettings} from '@mustardferry/model';
+import {dataCentresOf, type InstanceSettings} from '@mustardferry/model';
 import {
   createLogger,
   createStatsdMetrics,
@@ -17,6 +17,7 @@
 import {LocalOwners} from './gateway/local_owners.js';
 import {PeerOwnerCaller} from './gateway/peer_owner_caller.js';
 import {AccessControl} from './http/access.js';
+import {addEvacuationRoutes} from './http/evacuation_routes.js';
 import {addHealthRoutes, type HealthRefusal} from './http/health_routes.js';
 import {createHttpServer} from './http/http_server.js';
 import {addJobRoutes} from './http/job_routes.js';
@@ -180,6 +181,8 @@
       instances: () => parts.instanceViews(),
       drain: () => void this.drain(),
     });
+    const dataCentres = dataCentresOf(settings);
+    addEvacuationRoutes(app, {control, access, dataCentres});
     this.servePeers(access, owners);
   }
 
--- a/packages/entry/tests/http/app.ts
+++ b/packages/entry/tests/http/app.ts
@@ -1,11 +1,16 @@
 /** A server over fakes, answered by `app.inject` without a socket. */
-import type {ControlCommand, ControlResult} from '@mustardferry/coordination';
+import type {
+  ControlCommand,
+  ControlResult,
+  EvacuationRecord,
+} from '@mustardferry/coordination';
 import type {OwnerReply} from '@mustardferry/links';
 import {EMPTY_POLICY, type InstanceSettings} from '@mustardferry/model';
 
 import type {ControlService} from '../../src/control/control_service.js';
 import type {IncomingJob, JobGateway} from '../../src/gateway/job_gateway.js';
 import {AccessControl} from '../../src/http/access.js';
+import {addEvacuationRoutes} from '../../src/http/evacuation_routes.js';
 import {addHealthRoutes} from '../../src/http/health_routes.js';
 import {createHttpServer} from '../../src/http/http_server.js';
 import {addJobRoutes} from '../../src/http/job_routes.js';
@@ -18,6 +23,8 @@
 export class TestServer {
   refusal: 'not-ready' | 'draining' | undefined;
   drains = 0;
+  /** Order in force for `dc1`; `dc3` is not defined in the control log. */
+  evacuation: EvacuationRecord | undefined;
   open = 0;
   readonly jobs: IncomingJob[] = [];
   readonly waits: number[] = [];
@@ -65,6 +72,13 @@
       instances: () => [],
       drain: () => this.drains++,
     });
+    this.addEvacuations(access);
+  }
+
+  private addEvacuations(access: AccessControl): void {
+    const control = this.control();
+    const dataCentres = ['dc1', 'dc2', 'dc3'];
+    addEvacuationRoutes(this.app, {control, access, dataCentres});
   }
 
   private gateway(): JobGateway {
@@ -90,7 +104,12 @@
       hasState: true,
       isCurrent: false,
       confirmedMsAgo: Infinity,
-      state: {answers: () => undefined},
+      state: {
+        answers: () => undefined,
+        evacuation: (name: string) =>
+          name === 'dc1' ? this.evacuation : undefined,
+        knowsDataCentre: (name: string) => name !== 'dc3',
+      },
       auditPage: async () => undefined,
       propose: (command: ControlCommand) => {
         this.commands.push(command);
--- a/packages/model/src/api.ts
+++ b/packages/model/src/api.ts
@@ -154,6 +154,14 @@
   readonly operator?: string;
 }
 
+/** Body of `GET /v1/evacuations`. */
+export interface EvacuationsView {
+  /** Whether the leader of the control log recently confirmed this state. */
+  readonly current: boolean;
+  /** All data centres that the instance knows. */
+  readonly evacuations: readonly EvacuationView[];
+}
+
 /** Promised and received capacity of one team, for `GET /v1/shares`. */
 export interface TeamShare {
   readonly team: string;
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -5,6 +5,7 @@
   AuditPage,
   ConfigView,
   EvacuationAccepted,
+  EvacuationsView,
   EvacuationView,
   ExplainStep,
   InstanceView,
--- a/tests/openapi.test.ts
+++ b/tests/openapi.test.ts
@@ -261,4 +261,28 @@
     await exchange({...submit, body: {...job, team: 'nobody'}, status: 422});
     await exchange({...submit, body: {}, status: 400});
   });
+
+  // Follows the test that waits for the instance to be ready, as its data
+  // centre is in the control log only then.
+  it('describes the replies to orders to evacuate a data centre', async () => {
+    const path = '/v1/evacuations/{dataCentre}';
+    const at = '/v1/evacuations/dc1';
+    const headers = (id: string) => ({'request-id': id, operator: 'ann'});
+    const start: Exchange = {path, method: 'POST', at, status: 200};
+    const started = {...start, headers: headers('start-1')};
+    expect(await exchange(started)).to.include({repeated: false});
+    expect(await exchange(started)).to.include({repeated: true});
+    const list = {path: '/v1/evacuations', method: 'GET', status: 200} as const;
+    expect(await exchange(list)).to.have.nested.include({
+      'evacuations[0].dataCentre': 'dc1',
+      'evacuations[0].evacuated': true,
+      'evacuations[0].operator': 'ann',
+    });
+    const stale = {...headers('end-1'), 'if-match': '"0"'};
+    const end: Exchange = {...start, method: 'DELETE'};
+    await exchange({...end, headers: stale, status: 412});
+    await exchange({...end, headers: headers('end-2')});
+    const other = '/v1/evacuations/dc9';
+    await exchange({...started, at: other, status: 404});
+  });
 });
