--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -6,6 +6,11 @@
 import {auditVerifyCommand} from './commands/audit_verify.js';
 import {configShowCommand} from './commands/config_show.js';
 import {drainCommand} from './commands/drain.js';
+import {
+  evacuationEndCommand,
+  evacuationStartCommand,
+} from './commands/evacuation_order.js';
+import {evacuationShowCommand} from './commands/evacuation_show.js';
 import {explainCommand} from './commands/explain.js';
 import {instancesCommand} from './commands/instances.js';
 import {jobCancelCommand} from './commands/job_cancel.js';
@@ -35,6 +40,9 @@
   upstreamsCommand,
   instancesCommand,
   drainCommand,
+  evacuationStartCommand,
+  evacuationEndCommand,
+  evacuationShowCommand,
   auditListCommand,
   auditVerifyCommand,
   sharesCommand,
@@ -48,5 +56,6 @@
   answers: 'Submit and show the answers of teams',
   config: 'Show the configuration in force',
   job: 'Submit, watch and cancel jobs',
+  evacuation: 'Evacuate and readmit data centres',
   audit: 'List and verify the audit trail',
 };
