Home jobs without a key away from an evacuated data centre

A submission without a key was homed in the data centre of the instance that received it, so that all of them were refused during its evacuation. They now get a home among the other data centres; a given key keeps its home, because an earlier submission under it may have been admitted there.

A running instance refuses a job of its evacuated data centre with data-centre-evacuated, names the evacuation in explain, and runs the job after the readmission.

--- a/packages/entry/src/gateway/job_gateway.ts
+++ b/packages/entry/src/gateway/job_gateway.ts
@@ -1,5 +1,5 @@
 /** Takes callers' requests about jobs to the owner and back. */
-import {randomBytes} from 'node:crypto';
+import {randomBytes, randomInt} from 'node:crypto';
 
 import {
   createIdempotencyKey,
@@ -20,7 +20,7 @@
   Submission,
   SubmitJobRequest,
 } from '@mustardferry/model';
-import {dataCentresOf} from '@mustardferry/model';
+import {dataCentresOf, must} from '@mustardferry/model';
 import type {Logger} from '@mustardferry/runtime';
 
 import {fail, problem} from '../http/problems.js';
@@ -40,6 +40,8 @@
   readonly settings: InstanceSettings;
   readonly directory: OwnerDirectory;
   readonly caller: OwnerCaller;
+  /** Whether a data centre is evacuated, as far as this instance knows. */
+  readonly isEvacuated: (dataCentre: string) => boolean;
   readonly logger: Logger;
 }
 
@@ -78,7 +80,7 @@
     const receivedAtMs = Date.now();
     const idempotencyKey =
       incoming.idempotencyKey ??
-      createIdempotencyKey(this.options.settings.dataCentre, randomBytes(16));
+      createIdempotencyKey(this.homeOfNewKey(), randomBytes(16));
     const submission: Submission = {...body, idempotencyKey};
     const home = this.homeOf(submission);
     const digest = this.digestOf(submission);
@@ -115,6 +117,19 @@
     );
   }
 
+  /**
+   * This data centre, or another one while it is evacuated. A given key keeps
+   * its home, because an earlier submission may have been admitted there.
+   */
+  private homeOfNewKey(): string {
+    const {settings, isEvacuated} = this.options;
+    const {dataCentre} = settings;
+    if (!isEvacuated(dataCentre)) return dataCentre;
+    const others = this.dataCentres.filter(name => !isEvacuated(name));
+    if (others.length === 0) return dataCentre;
+    return must(others[randomInt(others.length)], 'index out of range');
+  }
+
   private homeOf(submission: Submission): Home {
     try {
       const groups = this.options.settings.recordGroups;
--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -161,7 +161,13 @@
     const access = new AccessControl(settings.tokens);
     const owners = new LocalOwners(groups);
     const caller = new PeerOwnerCaller(settings.name, owners, network);
-    const gateway = new JobGateway({settings, directory, caller, logger});
+    const gateway = new JobGateway({
+      settings,
+      directory,
+      caller,
+      logger,
+      isEvacuated: name => parts.pool.isEvacuated(name),
+    });
     this.countRequests();
     addHealthRoutes(app, {refusal: () => this.refusal()});
     addJobRoutes(app, {
--- a/packages/entry/tests/gateway/job_gateway.test.ts
+++ b/packages/entry/tests/gateway/job_gateway.test.ts
@@ -77,14 +77,17 @@
   let caller: FakeCaller;
   let directory: OwnerDirectory;
   let gateway: JobGateway;
+  let evacuated: readonly string[] = [];
   beforeEach(() => {
     clock = install({now: 1_000});
     caller = new FakeCaller();
+    evacuated = [];
     directory = new OwnerDirectory(settings().instances);
     gateway = new JobGateway({
       settings: settings(),
       directory,
       caller,
+      isEvacuated: name => evacuated.includes(name),
       logger: LOGGER,
     });
   });
@@ -95,6 +98,22 @@
   const codeOf = (reply: {readonly type: string}): string =>
     'problem' in reply ? (reply as {problem: {code: string}}).problem.code : '';
 
+  const homes = [
+    {evacuations: [], key: undefined, home: 'dc1'},
+    {evacuations: ['dc1'], key: undefined, home: 'dc2'},
+    {evacuations: ['dc2'], key: undefined, home: 'dc1'},
+    {evacuations: ['dc1', 'dc2'], key: undefined, home: 'dc1'},
+    // An earlier submission under the key may have been admitted there.
+    {evacuations: ['dc1'], key: 'dc:dc1:k', home: 'dc1'},
+  ];
+  for (const {evacuations, key, home} of homes) {
+    it(`finds a home where tasks start, but never moves a given key: ${key ?? 'none'}, evacuated ${evacuations.join()}`, async () => {
+      evacuated = evacuations;
+      const {jobId} = await submit(key);
+      expect(jobId).to.match(new RegExp(`^${home}\\.`));
+    });
+  }
+
   it('never passes on a reply for another job', async () => {
     caller.handler = async (instance, jobId) =>
       answered(instance === 'e3' ? jobId : `${jobId}x`);
--- a/tests/openapi.test.ts
+++ b/tests/openapi.test.ts
@@ -6,63 +6,13 @@
 import {parseSettings} from '@mustardferry/config';
 import {EntryInstance} from '@mustardferry/entry';
 import {createLogger} from '@mustardferry/runtime';
-import {Ajv2020, type ValidateFunction} from 'ajv/dist/2020.js';
 import {expect} from 'chai';
 import type {FastifyInstance} from 'fastify';
 import {request} from 'undici';
 
 import {Fleet} from '../packages/bench/src/workers/fleet.js';
 import {ROOT} from './emitted_names.js';
-
-interface Media {
-  readonly schema: object;
-}
-
-interface Operation {
-  readonly tags: readonly string[];
-  readonly responses: Readonly<
-    Record<string, {readonly content?: Readonly<Record<string, Media>>}>
-  >;
-}
-
-interface OpenApi {
-  readonly components: object;
-  readonly paths: Readonly<Record<string, Readonly<Record<string, Operation>>>>;
-}
-
-const API = JSON.parse(
-  readFileSync(join(ROOT, 'docs/openapi.json'), 'utf8'),
-) as OpenApi;
-
-/** Refuses members that the description does not name, at every depth. */
-function closed(schema: unknown): unknown {
-  if (Array.isArray(schema)) return schema.map(closed);
-  if (typeof schema !== 'object' || schema === null) return schema;
-  const members = Object.entries(schema).map(
-    ([key, value]) => [key, closed(value)] as const,
-  );
-  const copy: Record<string, unknown> = Object.fromEntries(members);
-  const describesMembers =
-    typeof copy['properties'] === 'object' && copy['type'] === 'object';
-  if (describesMembers) copy['additionalProperties'] ??= false;
-  return copy;
-}
-
-/** Schema of a reply; refers to the components of the API description. */
-function validatorOf(
-  path: string,
-  method: string,
-  status: number,
-): ValidateFunction {
-  const responses = API.paths[path]?.[method]?.responses;
-  const response = responses?.[status] ?? responses?.['default'];
-  const [media] = Object.values(response?.content ?? {});
-  if (media === undefined) throw new Error(`${method} ${path}: no schema`);
-  // Unknown keywords of OpenAPI, such as `example`, are not errors.
-  const ajv = new Ajv2020({strict: false, allErrors: true});
-  const {components} = API;
-  return ajv.compile(closed({...media.schema, components}) as object);
-}
+import {API, validatorOf} from './openapi_schema.js';
 
 const SETTINGS = (folder: string): string => `
 [instance]
@@ -272,6 +222,34 @@
     const started = {...start, headers: headers('start-1')};
     expect(await exchange(started)).to.include({repeated: false});
     expect(await exchange(started)).to.include({repeated: true});
+    const job = {
+      team: 'undertakers',
+      kind: 'coverage-check',
+      tasks: [{id: 't1', payload: {runMs: 1, value: 'v'}}],
+    };
+    const submit = (key: string, status: number): Promise<unknown> =>
+      exchange({
+        path: '/v1/jobs',
+        method: 'POST',
+        body: job,
+        headers: {'idempotency-key': key, prefer: 'wait=20'},
+        status,
+      });
+    // A running instance must act on the order, not only record it.
+    const refused = await submit('k2', 503);
+    expect(refused).to.include({code: 'data-centre-evacuated'});
+    const {jobId} = refused as {readonly jobId: string};
+    const steps = await exchange({
+      path: '/v1/jobs/{id}/explain',
+      at: `/v1/jobs/${jobId}/explain`,
+      method: 'GET',
+      status: 200,
+    });
+    expect(steps).to.have.nested.include({
+      'steps[0].reason': 'data-centre-evacuated',
+      'steps[0].detail': 'data centre dc1 is evacuated.',
+    });
+    await exchange({path: '/v1/upstreams', method: 'GET', status: 200});
     const list = {path: '/v1/evacuations', method: 'GET', status: 200} as const;
     expect(await exchange(list)).to.have.nested.include({
       'evacuations[0].dataCentre': 'dc1',
@@ -282,6 +260,7 @@
     const end: Exchange = {...start, method: 'DELETE'};
     await exchange({...end, headers: stale, status: 412});
     await exchange({...end, headers: headers('end-2')});
+    await submit('k2', 200);
     const other = '/v1/evacuations/dc9';
     await exchange({...started, at: other, status: 404});
   });
