Show in audit list which data centre an order was about

The table had neither the data centre of an evacuation nor the instance of a drain. The column DETAIL now begins with what was ordered.

Measured: the tests of packages/cli pass.

--- a/packages/cli/src/commands/audit_list.ts
+++ b/packages/cli/src/commands/audit_list.ts
@@ -24,6 +24,15 @@
   'DETAIL',
 ];
 
+/**
+ * What was ordered and why it was not applied. The answers of a team are too
+ * long for the table.
+ */
+function describeDetail({action, after, detail}: AuditEntry): string {
+  if (action !== 'drain' && action !== 'evacuation') return detail;
+  return detail === '' ? after : `${after}; ${detail}`;
+}
+
 function toRow(entry: AuditEntry) {
   return [
     entry.index,
@@ -33,7 +42,7 @@
     entry.team,
     `${entry.fromRevision}->${entry.toRevision}`,
     entry.requestId,
-    entry.detail,
+    describeDetail(entry),
   ];
 }
 
--- a/packages/cli/tests/evacuation.test.ts
+++ b/packages/cli/tests/evacuation.test.ts
@@ -94,6 +94,31 @@
     });
   }
 
+  it('are told apart in the audit trail, refused ones, too', async () => {
+    const entry = {
+      index: 1,
+      atMs: 1,
+      operator: 'ann',
+      requestId: 'r1',
+      action: 'evacuation',
+      team: '',
+      fromRevision: 0,
+      toRevision: 7,
+      before: 'east evacuated=false',
+      after: 'east evacuated=true',
+      detail: '',
+      hash: '',
+    };
+    const refused = {...entry, index: 2, detail: 'conflict: revision 7'};
+    const body = {entries: [entry, refused], previousHash: '', lastIndex: 2};
+    const {out} = await runAgainst(['audit', 'list'], () => ({
+      status: 200,
+      body,
+    }));
+    expect(out).to.match(/r1 +east evacuated=true\n/);
+    expect(out).to.include('east evacuated=true; conflict: revision 7\n');
+  });
+
   it('show who evacuated a data centre since when, and that it is not confirmed', async () => {
     const {body} = LIST as {readonly body: object};
     const result = await runAgainst(['evacuation', 'show'], () => ({
