--- a/packages/entry/src/dispatch/attempt_follower.ts
+++ b/packages/entry/src/dispatch/attempt_follower.ts
@@ -73,7 +73,11 @@
     // stays with this owner, as no other one would start it.
     const isOwned = await this.waitForLease(entry);
     if (result?.outcome === 'started' && isOwned) {
-      this.sendAttempt(entry, attempt);
+      if (this.options.pool.allowsStart(attempt.upstream)) {
+        this.sendAttempt(entry, attempt);
+      } else {
+        this.withdrawStart(entry, attempt);
+      }
       return;
     }
     this.releaseAttempt(entry, attempt);
@@ -140,6 +144,19 @@
       .then(outcome => this.handleOutcome(entry, attempt, outcome));
   }
 
+  /** Queues a task again whose upstream was evacuated before it was sent. */
+  private withdrawStart(entry: TaskEntry, attempt: RunningAttempt): void {
+    this.releaseAttempt(entry, attempt);
+    entry.task.job.explain({
+      atMs: Date.now(),
+      taskId: entry.queued.taskId,
+      step: 'retried',
+      reason: 'data-centre-evacuated',
+      detail: `not sent to ${attempt.upstream}`,
+    });
+    void this.retry(entry, 0, attempt);
+  }
+
   private releaseAttempt(entry: TaskEntry, attempt: RunningAttempt): void {
     this.options.ledger.releaseAttempt(entry, attempt, Date.now());
     this.options.onSlotFreed();
--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -2,7 +2,7 @@
 import {Server as NetServer} from 'node:net';
 
 import {PeerServer} from '@mustardferry/links';
-import type {InstanceSettings} from '@mustardferry/model';
+import {dataCentresOf, type InstanceSettings} from '@mustardferry/model';
 import {
   createLogger,
   createStatsdMetrics,
@@ -17,6 +17,7 @@
 import {LocalOwners} from './gateway/local_owners.js';
 import {PeerOwnerCaller} from './gateway/peer_owner_caller.js';
 import {AccessControl} from './http/access.js';
+import {addEvacuationRoutes} from './http/evacuation_routes.js';
 import {addHealthRoutes, type HealthRefusal} from './http/health_routes.js';
 import {createHttpServer} from './http/http_server.js';
 import {addJobRoutes} from './http/job_routes.js';
@@ -160,7 +161,13 @@
     const access = new AccessControl(settings.tokens);
     const owners = new LocalOwners(groups);
     const caller = new PeerOwnerCaller(settings.name, owners, network);
-    const gateway = new JobGateway({settings, directory, caller, logger});
+    const gateway = new JobGateway({
+      settings,
+      directory,
+      caller,
+      logger,
+      isEvacuated: name => parts.pool.isEvacuated(name),
+    });
     this.countRequests();
     addHealthRoutes(app, {refusal: () => this.refusal()});
     addJobRoutes(app, {
@@ -180,6 +187,8 @@
       instances: () => parts.instanceViews(),
       drain: () => void this.drain(),
     });
+    const dataCentres = dataCentresOf(settings);
+    addEvacuationRoutes(app, {control, access, dataCentres});
     this.servePeers(access, owners);
   }
 
