--- a/packages/links/src/frame_channel.ts
+++ b/packages/links/src/frame_channel.ts
@@ -1,4 +1,5 @@
 /** One WebSocket that carries batches of messages in MessagePack. */
+import {channel} from 'node:diagnostics_channel';
 import {setImmediate} from 'node:timers';
 
 import {WebSocket} from 'ws';
@@ -7,6 +8,12 @@
 import type {Watch} from './frame_options.js';
 import {PEER_ENCODER} from './peer_encoder.js';
 
+/**
+ * Diagnostics channel on which each frame is published that is sent: the list
+ * of its messages, or `null` for a ping.
+ */
+const SENT_FRAMES = channel('mustardferry:frame-sent');
+
 /** Options of a channel. */
 export interface FrameChannelOptions<M> {
   readonly watch: Watch;
@@ -78,6 +85,7 @@
     this.batch = [];
     if (this.closed || socket.readyState !== WebSocket.OPEN) return;
     if (socket.bufferedAmount > this.options.maxUnsentBytes) return this.end();
+    SENT_FRAMES.publish(batch);
     socket.send(PEER_ENCODER.encode(batch));
   }
 
@@ -121,7 +129,9 @@
     if (this.pinged && quietMs >= silenceMs) return this.endUnlessHeard();
     if (quietMs < pingAfterMs) return;
     this.pinged = true;
-    if (this.socket.readyState === WebSocket.OPEN) this.socket.ping();
+    if (this.socket.readyState !== WebSocket.OPEN) return;
+    SENT_FRAMES.publish(null);
+    this.socket.ping();
   }
 
   /** Timers run before input is read: a late check may precede the answer. */
