Probe ejected upstreams again after a probe without a result

Cause: a probe that was refused, lost or stopped with its job has no result, and the ejection waited for one for good: the upstream was never used again. Change: the owner follows the runs of probes, and repeats a probe that has ended without a result after the present interval.

--- a/packages/decisions/src/health/outlier_ejection.ts
+++ b/packages/decisions/src/health/outlier_ejection.ts
@@ -140,10 +140,20 @@
     this.clearCounts(health, now);
   }
 
-  /** Records that a task was sent to an ejected upstream as its probe. */
-  recordProbeStart(upstream: string): void {
+  /** Records a start; returns whether it probes an ejected upstream. */
+  recordProbeStart(upstream: string): boolean {
     const health = this.upstreams.get(upstream);
-    if (health?.state === 'ejected') health.isProbing = true;
+    if (health?.state !== 'ejected') return false;
+    health.isProbing = true;
+    return true;
+  }
+
+  /** Repeats a probe without a result after the present interval. */
+  postponeProbe(upstream: string, now: number): void {
+    const health = this.upstreams.get(upstream);
+    if (health?.state !== 'ejected' || !health.isProbing) return;
+    health.isProbing = false;
+    health.probeAtMs = now + health.probeIntervalMs;
   }
 
   /** Discards a probe that ended without a result, for example cancelled. */
--- a/packages/dispatch/src/owner/run_starter.ts
+++ b/packages/dispatch/src/owner/run_starter.ts
@@ -7,6 +7,7 @@
 import type {OwnerActivity} from './owner_activity.js';
 import type {Placement, PlacementPolicy, PlacementSearch} from './placement.js';
 import {PoolIndex, REFRESH_INTERVAL_MS} from './pool_index.js';
+import {ProbeRuns} from './probe_runs.js';
 import {
   computeWork,
   DISPATCH_OVERHEAD_MS,
@@ -54,12 +55,15 @@
 export class RunStarter {
   private readonly pools = new Map<string, PoolIndex>();
   private readonly estimates = new Map<PoolIndex, ServiceEstimate>();
+  private readonly probes: ProbeRuns;
   private retry: NodeJS.Timeout | null = null;
   private scheduled = false;
   private recoveryComplete = false;
   private closed = false;
 
-  constructor(private readonly options: RunStarterOptions) {}
+  constructor(private readonly options: RunStarterOptions) {
+    this.probes = new ProbeRuns(options.health);
+  }
 
   get isRecoveryComplete(): boolean {
     return this.recoveryComplete;
@@ -136,6 +140,7 @@
   }
 
   private startReady(): void {
+    this.probes.postponeEnded(performance.now());
     for (const [name, queue] of this.options.jobTable.readyQueues) {
       if (queue.size === 0) continue;
       const now = performance.now();
@@ -254,8 +259,8 @@
     this.options.metrics.increment('starts');
     this.options.activity.count('started');
     if (marginMs < 0) this.options.activity.count('startedLate');
-    this.options.health.recordProbeStart(session.key);
     void session.start(run);
+    this.probes.recordStart(run);
   }
 }
 
