Load the upstreams of a readmitted data centre gradually

On readmission all queued tasks went to the upstreams of the data centre at once, although these may be slow at first. Each upstream now gets one task from each instance, and twice as many after each success, until the limit is 8, as after an ejection.

--- a/packages/entry/src/dispatch/dispatch_parts.ts
+++ b/packages/entry/src/dispatch/dispatch_parts.ts
@@ -88,7 +88,7 @@
     renewer,
     shares,
   });
-  const evacuations = createEvacuationMonitor(options, scheduler);
+  const evacuations = createEvacuationMonitor(options, scheduler, monitor);
   return {
     scheduler,
     sharing,
@@ -111,9 +111,14 @@
 function createEvacuationMonitor(
   {pool, logger}: DispatchOptions,
   scheduler: Dispatcher,
+  monitor: UpstreamMonitor,
 ): EvacuationMonitor {
-  const onChange = (): void => scheduler.recheckQueuedTasks();
-  return new EvacuationMonitor({pool, logger, onChange});
+  return new EvacuationMonitor({
+    pool,
+    logger,
+    onReadmitted: upstream => monitor.readmit(upstream),
+    onChange: () => scheduler.recheckQueuedTasks(),
+  });
 }
 
 interface CommonParts {
--- a/packages/entry/src/dispatch/evacuation_monitor.ts
+++ b/packages/entry/src/dispatch/evacuation_monitor.ts
@@ -8,6 +8,8 @@
 export interface EvacuationMonitorOptions {
   readonly pool: UpstreamPool;
   readonly logger: Logger;
+  /** Called for each upstream of a readmitted data centre. */
+  readonly onReadmitted: (upstream: string) => void;
   /** Called after the evacuated data centres have changed. */
   readonly onChange: () => void;
 }
@@ -30,11 +32,20 @@
       logger.info('evacuation-started', this.describe(name));
     }
     for (const name of ended) {
+      this.readmitUpstreams(name);
       logger.info('evacuation-ended', this.describe(name));
     }
     onChange();
   }
 
+  private readmitUpstreams(dataCentre: string): void {
+    const {pool, onReadmitted} = this.options;
+    for (const announcement of pool.listAnnouncements()) {
+      if (announcement.dataCentre !== dataCentre) continue;
+      onReadmitted(upstreamKey(announcement));
+    }
+  }
+
   /**
    * Upstreams known here and runs of this instance in a data centre. Every log
    * line has a field `dataCentre`, that of the instance, so this one is named
--- a/packages/entry/src/dispatch/upstream_monitor.ts
+++ b/packages/entry/src/dispatch/upstream_monitor.ts
@@ -23,12 +23,16 @@
 const PROBE_CHECK_PERIOD_MS = 100;
 /** Samples needed before a slow run lowers the concurrency limit of an upstream. */
 const MIN_SAMPLES = 8;
+/** Limit from which a readmitted upstream is no longer limited. */
+const READMITTED_LIMIT = 8;
 
 /** Ejects unhealthy upstreams, probes them and limits concurrency. */
 export class UpstreamMonitor {
   private readonly ejection = new OutlierEjection();
   private readonly concurrency = new Map<string, AdaptiveConcurrency>();
   private readonly unhealthy = new Set<string>();
+  /** Most tasks at once on upstreams of readmitted data centres. */
+  private readonly readmitted = new Map<string, number>();
   private readonly timer: NodeJS.Timeout;
 
   constructor(private readonly options: UpstreamMonitorOptions) {
@@ -44,6 +48,17 @@
     this.ejection.remove(key);
     this.concurrency.delete(key);
     this.unhealthy.delete(key);
+    this.readmitted.delete(key);
+  }
+
+  /**
+   * Limits an upstream whose data centre was readmitted to one task, and to
+   * twice as many after each success: it may be slow at first, and queued jobs
+   * would load it all at once.
+   */
+  readmit(key: string): void {
+    this.readmitted.set(key, 1);
+    this.updateAllowance(key, Date.now());
   }
 
   /** Records that an attempt was sent; on an ejected upstream, it is the probe. */
@@ -62,6 +77,7 @@
     now: number,
   ): void {
     this.limit(entry, attempt, outcome, now);
+    if (outcome.type === 'done') this.raiseReadmitted(attempt.upstream, now);
     const ok = outcome.type === 'done';
     const failed =
       outcome.type === 'task-error' ||
@@ -130,6 +146,14 @@
     this.updateAllowance(upstream, now);
   }
 
+  private raiseReadmitted(upstream: string, now: number): void {
+    const limit = this.readmitted.get(upstream);
+    if (limit === undefined) return;
+    if (limit * 2 < READMITTED_LIMIT) this.readmitted.set(upstream, limit * 2);
+    else this.readmitted.delete(upstream);
+    this.updateAllowance(upstream, now);
+  }
+
   private checkProbes(): void {
     const now = Date.now();
     for (const upstream of this.unhealthy) this.updateAllowance(upstream, now);
@@ -139,7 +163,10 @@
     const {pool, onUpstreamAvailable} = this.options;
     const {allowance} = this.ejection.getStatus(upstream, now);
     const before = pool.candidates.get(upstream)?.freeCredits ?? 0;
-    const limit = this.concurrency.get(upstream)?.limit ?? Infinity;
+    const limit = Math.min(
+      this.concurrency.get(upstream)?.limit ?? Infinity,
+      this.readmitted.get(upstream) ?? Infinity,
+    );
     pool.setAllowance(upstream, Math.min(allowance, limit));
     const after = pool.candidates.get(upstream)?.freeCredits ?? 0;
     if (after > before) onUpstreamAvailable();
--- a/packages/entry/tests/dispatch/harness.ts
+++ b/packages/entry/tests/dispatch/harness.ts
@@ -88,6 +88,7 @@
   private readonly evacuations = new EvacuationMonitor({
     pool: this.pool,
     logger: LOGGER,
+    onReadmitted: upstream => this.monitor.readmit(upstream),
     onChange: () => this.dispatcher.recheckQueuedTasks(),
   });
   private readonly renewer = new LeaseRenewer(3_000, LOGGER);
--- a/packages/entry/tests/upstreams/upstream_service.test.ts
+++ b/packages/entry/tests/upstreams/upstream_service.test.ts
@@ -180,6 +180,15 @@
     expect(node('e1').service.listViews()).to.have.length(0);
   });
 
+  it('does not report an upstream of an evacuated data centre as ejected', async () => {
+    await renewFor(1_000);
+    const {pool, service} = node('e1');
+    pool.setEvacuated(['dc1']);
+    expect(service.listViews()[0]).to.include({state: 'evacuated'});
+    pool.setEvacuated([]);
+    expect(service.listViews()[0]).to.include({state: 'available'});
+  });
+
   it('reports an ejected upstream as ejected', async () => {
     await renewFor(1_000);
     const {pool, service} = node('e1');
