Discard older changes after an order for the state that holds

Cause: an order for the state that holds was acknowledged without an entry, so that the revision stayed. A contrary change that was based on it, was never acknowledged and was still under way could undo the newer order. Change: such an order raises the revision, and adds nothing to the audit trail.

--- a/packages/dispatch/src/instance/evacuation_requests.ts
+++ b/packages/dispatch/src/instance/evacuation_requests.ts
@@ -88,8 +88,8 @@
     if (read?.type !== 'evacuations') return 'unanswered';
     if (!isWanted()) return 'too-late';
     const record = read.records.find(each => each.dataCentre === dataCentre);
-    // The leader has read the record behind a barrier.
-    if ((record?.evacuated ?? false) === evacuated) return 'in-force';
+    // A state that holds is ordered as well: that raises the revision, so that
+    // an older, contrary request which is still under way is discarded.
     const basedOn = record?.revision ?? 0;
     const reply = await this.send(
       {type: 'evacuate', dataCentre, evacuated, basedOn, operator},
--- a/packages/dispatch/src/jobs/commands.ts
+++ b/packages/dispatch/src/jobs/commands.ts
@@ -58,7 +58,7 @@
   | {readonly type: 'done'}
   | {readonly type: 'revision'; readonly revision: number}
   | {readonly type: 'job'; readonly state: JobState | 'unknown'}
-  /** The record after the command, and whether the command changed it. */
+  /** The record after the command, and whether its state has changed. */
   | {
       readonly type: 'evacuation';
       readonly applied: boolean;
--- a/packages/dispatch/src/jobs/evacuations.ts
+++ b/packages/dispatch/src/jobs/evacuations.ts
@@ -5,9 +5,12 @@
   readonly dataCentre: string;
   /** Whether no task may start there. */
   readonly evacuated: boolean;
-  /** Number of the last change, from 1; 0 before the first one. */
+  /** Number of the last order, from 1; 0 before the first one. */
   readonly revision: number;
-  /** Epoch milliseconds, by the clock of the leader that proposed the change. */
+  /**
+   * When `evacuated` last changed, in epoch milliseconds by the clock of the
+   * leader that proposed the change.
+   */
   readonly changedAt: number;
   /** Who ordered the change. */
   readonly operator: string;
@@ -75,19 +78,25 @@
   }
 
   /**
-   * Applies a change unless the record has changed since the order was given:
-   * an order that arrives late must not undo a newer one.
+   * Applies an order unless another one came since it was given: an order that
+   * arrives late must not undo a newer one. So an order for the state that
+   * holds raises the revision, too.
+   *
+   * @returns Whether the data centre was evacuated or readmitted.
    */
   apply(change: EvacuationChange): boolean {
     const {dataCentre, evacuated, basedOn, at, operator} = change;
     const present = this.get(dataCentre);
-    if (present.revision !== basedOn || present.evacuated === evacuated) {
+    if (present.revision !== basedOn) return false;
+    const revision = basedOn + 1;
+    if (present.evacuated === evacuated) {
+      this.byDataCentre.set(dataCentre, {...present, revision});
       return false;
     }
     this.byDataCentre.set(dataCentre, {
       dataCentre,
       evacuated,
-      revision: basedOn + 1,
+      revision,
       changedAt: at,
       operator,
     });
--- a/packages/dispatch/src/owner/evacuation_orders.ts
+++ b/packages/dispatch/src/owner/evacuation_orders.ts
@@ -34,7 +34,7 @@
   }: Extract<Call, {type: 'evacuate'}>): Promise<Reply> {
     const {state, log, propose, logger} = this.options;
     let record = state.evacuations.get(dataCentre);
-    if (record.revision === basedOn && record.evacuated !== evacuated) {
+    if (record.revision === basedOn) {
       const at = Date.now();
       const change = {dataCentre, evacuated, basedOn, at, operator};
       const result = await propose({type: 'evacuate', ...change});
