Let members without a vote ask less often to join the log

A member without a vote asked every other member to join the log every 60 to 120 ms for as long as the leader did not need it, which was most of the messages at rest. After 30 requests without an answer (about 3 s) it now asks once per 600 to 1,200 ms. The leader remembers the requests that it could not grant for five election timeouts and grants them at the heartbeat at which a voter becomes replaceable, so a silent voter is still replaced after 6 s. Only a leader elected more than 3 s after such a member has started hears of it up to 1.1 s later than before, and it replaces no voter before 6 s.

--- a/packages/coordination/src/replicated_log/core_state.ts
+++ b/packages/coordination/src/replicated_log/core_state.ts
@@ -72,6 +72,12 @@
   readonly round: number;
 }
 
+/** Request of a member without a vote to receive the log. */
+export interface JoinRequest {
+  readonly member: MemberId;
+  readonly at: number;
+}
+
 /** Role in the current term; a learner is a follower without a vote. */
 export type LogRole = 'follower' | 'pre-candidate' | 'candidate' | 'leader';
 
@@ -113,6 +119,10 @@
   readonly round: number;
   readonly roundTimes: readonly {readonly round: number; readonly at: number}[];
   readonly pendingReads: readonly PendingRead[];
+  /** Requests to join in a row that no leader has answered, as a learner. */
+  readonly joinAttempts: number;
+  /** Latest requests to join that this leader could not grant yet, by key. */
+  readonly joinRequests: Readonly<Record<string, JoinRequest>>;
   /** Latest registered incarnation by member name. */
   readonly registeredIncarnations: Readonly<Record<string, string>>;
   readonly transfer: {
@@ -191,6 +201,8 @@
   round: 0,
   roundTimes: [],
   pendingReads: [],
+  joinAttempts: 0,
+  joinRequests: {},
   registeredIncarnations: {},
   transfer: null,
 } as const;
--- a/packages/coordination/src/replicated_log/elections.ts
+++ b/packages/coordination/src/replicated_log/elections.ts
@@ -24,6 +24,13 @@
 /** Heartbeat intervals after which a pre-candidate asks for pre-votes again. */
 const PRE_VOTE_INTERVALS = 2;
 
+/**
+ * Requests to join at intervals of a heartbeat, so that a member which starts
+ * joins soon. Later requests come once per election timeout: the leader
+ * remembers them, and most members are not needed as voters for days.
+ */
+const FREQUENT_JOIN_ATTEMPTS = 30;
+
 type Candidacy = 'pre-vote' | 'vote' | 'transfer';
 
 /** Changes to the follower role in the given term. */
@@ -182,10 +189,15 @@
   for (const member of known.values()) {
     sendMessage(ctx, member, {type: 'join', term: state.term});
   }
+  const {heartbeatMs, electionTimeoutMs} = ctx.cfg;
+  const joinAttempts = state.leader ? 1 : state.joinAttempts + 1;
+  const isFrequent = joinAttempts < FREQUENT_JOIN_ATTEMPTS;
+  const intervalMs = isFrequent ? heartbeatMs : electionTimeoutMs;
   return {
     ...state,
     leader: null,
-    electionDeadline: ctx.now + ctx.cfg.heartbeatMs * (1 + ctx.random),
+    joinAttempts,
+    electionDeadline: ctx.now + intervalMs * (1 + ctx.random),
   };
 }
 
--- a/packages/coordination/src/replicated_log/step.ts
+++ b/packages/coordination/src/replicated_log/step.ts
@@ -10,7 +10,6 @@
 import {
   getTermAt,
   isVoter,
-  lastIndex,
   type LogCoreConfig,
   type LogCoreState,
 } from './core_state.js';
@@ -18,7 +17,6 @@
   becomeFollower,
   campaign,
   campaignForTransfer,
-  createProgress,
   handleVoteReply,
 } from './elections.js';
 import {
@@ -33,17 +31,19 @@
   sendAppendToAll,
   sendTimeoutNow,
 } from './leader_replication.js';
+import {
+  addWaitingLearners,
+  handleJoinRequest,
+  removeSilentLearners,
+} from './learners.js';
 import {completeReads, isQuorumLost} from './leases.js';
 import type {LogMessage} from './log_messages.js';
 import {getMemberKey, isSameMember, type MemberId} from './members.js';
 import type {StepContext} from './step_context.js';
-import {canBecomeVoter, promoteLearner} from './voter_changes.js';
+import {promoteLearner} from './voter_changes.js';
 import {deriveVoterConfig} from './voter_config.js';
 import {handleVoteRequest} from './votes.js';
 
-/** Election timeouts without a reply after which a learner is removed. */
-const LEARNER_EXPIRY_TIMEOUTS = 10;
-
 /** Handles one event. */
 export function step<C>(
   state: LogCoreState<C>,
@@ -108,7 +108,10 @@
   if (ctx.now < current.heartbeatDeadline) return current;
   return promoteLearner(
     ctx,
-    broadcastAppend(ctx, removeSilentLearners(ctx, current)),
+    broadcastAppend(
+      ctx,
+      addWaitingLearners(ctx, removeSilentLearners(ctx, current)),
+    ),
   );
 }
 
@@ -140,7 +143,7 @@
         ? campaignForTransfer(ctx, state, message.earlierLeaseMs)
         : state;
     case 'join':
-      return addLearner(ctx, state, from);
+      return handleJoinRequest(ctx, state, from);
     default:
       return assertNever(message);
   }
@@ -246,31 +249,3 @@
   }
   return {...state, snapshot, entries: state.entries.slice(covered.length)};
 }
-
-function addLearner<C>(
-  ctx: StepContext<C>,
-  state: LogCoreState<C>,
-  from: MemberId,
-): LogCoreState<C> {
-  const key = getMemberKey(from);
-  if (state.role !== 'leader' || state.progress[key]) return state;
-  const isVoterName = state.config.voters.some(v => v.name === from.name);
-  if (!isVoterName && !canBecomeVoter(ctx, state, from)) return state;
-  const learner = createProgress(from, lastIndex(state) + 1, ctx.now);
-  return {...state, progress: {...state.progress, [key]: learner}};
-}
-
-function removeSilentLearners<C>(
-  ctx: StepContext<C>,
-  state: LogCoreState<C>,
-): LogCoreState<C> {
-  const limit = ctx.cfg.electionTimeoutMs * LEARNER_EXPIRY_TIMEOUTS;
-  const {voters, outgoingVoters} = state.config;
-  const keys = [...voters, ...(outgoingVoters ?? [])].map(getMemberKey);
-  const kept = Object.entries(state.progress).filter(
-    ([key, {ackedAt, addedAt}]) =>
-      keys.includes(key) || ctx.now - Math.max(ackedAt, addedAt) < limit,
-  );
-  if (kept.length === Object.keys(state.progress).length) return state;
-  return {...state, progress: Object.fromEntries(kept)};
-}
