Check the clocks for pauses once a second

A timer compared the clocks every 25 ms on each member. Each order of an owner compares them first anyway, so that a suspended leader is noticed at its first order as before, which a test now shows. The timer only logs a pause and keeps an old one from delaying a later order; it runs once a second.

--- a/packages/dispatch/src/instance/pause_detector.ts
+++ b/packages/dispatch/src/instance/pause_detector.ts
@@ -1,7 +1,11 @@
 /** Detects pauses of the process that its monotonic clock does not count. */
 
-/** Interval in ms between checks of the clocks. */
-const CHECK_INTERVAL_MS = 25;
+/**
+ * Interval in ms between checks of the clocks. Each order of an owner checks
+ * them first, so the timer serves the log, and keeps a pause from counting as
+ * recent when the first order comes long after it.
+ */
+const CHECK_INTERVAL_MS = 1_000;
 
 /** Drift in ms between the clocks that counts as a pause or a clock step. */
 const TOLERANCE_MS = 100;
