--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -20,12 +20,16 @@
   },
 };
 
-/** `minify` leaves out the source map, too: it would be parsed at each start. */
+/**
+ * `minify` leaves out the source map, too: it would be parsed at each start.
+ * Resolves with the modules of the bundle and their imports, by path.
+ */
 export async function bundle({entryPoint, outfile, minify = false}) {
-  await build({
+  const {metafile} = await build({
     entryPoints: [entryPoint],
     outfile,
     bundle: true,
+    metafile: true,
     platform: 'node',
     target: 'node20',
     format: 'cjs',
@@ -42,4 +46,5 @@
     },
     define: {'import.meta.url': 'importMetaUrl'},
   });
+  return metafile.inputs;
 }
