Check all links of a process at the same moments

Each connection had a timer of its own that looked for silence, which woke a member up to 70 times a second. Connections with the same period now share one timer. Periods, pings and limits are as before, and the first check of a connection comes within one period, so that silence is noticed within the same time.

--- a/packages/links/src/frame_channel.ts
+++ b/packages/links/src/frame_channel.ts
@@ -7,6 +7,7 @@
 import {PeerProtocolError} from './errors.js';
 import type {Watch} from './frame_options.js';
 import {PEER_ENCODER} from './peer_encoder.js';
+import {everyShared} from './shared_interval.js';
 
 /**
  * Diagnostics channel on which each frame is published that is sent: the list
@@ -39,7 +40,7 @@
   private pinged = false;
   private closed = false;
   private watch: Watch;
-  private timer: NodeJS.Timeout;
+  private stopChecks: () => void;
 
   constructor(
     private readonly socket: WebSocket,
@@ -52,7 +53,7 @@
     socket.on('close', () => this.end());
     socket.on('error', () => this.end());
     this.watch = options.watch;
-    this.timer = this.checkRegularly();
+    this.stopChecks = this.checkRegularly();
   }
 
   get isOpen(): boolean {
@@ -70,8 +71,8 @@
   setWatch(watch: Watch): void {
     if (this.closed || watch === this.watch) return;
     this.watch = watch;
-    clearInterval(this.timer);
-    this.timer = this.checkRegularly();
+    this.stopChecks();
+    this.stopChecks = this.checkRegularly();
     this.check();
   }
 
@@ -119,8 +120,8 @@
     this.pinged = false;
   }
 
-  private checkRegularly(): NodeJS.Timeout {
-    return setInterval(() => this.check(), this.watch.pingAfterMs).unref();
+  private checkRegularly(): () => void {
+    return everyShared(this.watch.pingAfterMs, () => this.check());
   }
 
   private check(): void {
@@ -145,7 +146,7 @@
   private end(): void {
     if (this.closed) return;
     this.closed = true;
-    clearInterval(this.timer);
+    this.stopChecks();
     this.socket.terminate();
     this.options.onClose();
   }
