Let a replaced voter that returns become a voter again

Cause: a voter that is down for longer than replaceSilentAfterMs may be replaced instead of the one that is gone for good. All messages of a removed member were ignored until the change was compacted and the voters were derived again, and the member itself, a voter by its own log, never asked to join. The group kept a lost voter and tolerated one loss less.

Change: the leader handles join requests of a removed member that may become a voter, and then its append replies; a member follows a removed leader; a member that becomes a voter again is no longer listed as removed; a voter whose pre-vote fails asks to join.

--- a/packages/coordination/src/replicated_log/elections.ts
+++ b/packages/coordination/src/replicated_log/elections.ts
@@ -62,7 +62,9 @@
   // A later leader may lack the uncommitted change that makes this a voter.
   const {outgoingVoters} = state.config;
   const unconfirmed = outgoingVoters?.every(v => !isSameMember(v, state.self));
-  if (unconfirmed) sendJoinRequests(ctx, state);
+  // A voter without success may have been replaced while it was away.
+  const isRepeated = state.role === 'pre-candidate';
+  if (unconfirmed || isRepeated) sendJoinRequests(ctx, state);
   const pre = kind === 'pre-vote';
   const self = getMemberKey(state.self);
   const next: LogCoreState<C> = {
--- a/packages/coordination/src/replicated_log/step.ts
+++ b/packages/coordination/src/replicated_log/step.ts
@@ -120,8 +120,11 @@
 ): LogCoreState<C> {
   const isAddressee =
     message.to === state.self.incarnation || message.type === 'join';
-  const removed = state.config.removedKeys.includes(getMemberKey(from));
-  if (!isAddressee || removed || isSameMember(from, state.self)) return state;
+  if (!isAddressee || isSameMember(from, state.self)) return state;
+  const isRemoved = state.config.removedKeys.includes(getMemberKey(from));
+  if (isRemoved && !isHandledAfterRemoval(ctx, state, from, message)) {
+    return state;
+  }
   switch (message.type) {
     case 'append':
       return handleAppend(ctx, state, from, message);
@@ -146,6 +149,23 @@
   }
 }
 
+/**
+ * Whether a message of a removed voter is handled. With its disk kept, it may
+ * join as a learner and become a voter again, and it may then be the leader of
+ * a member that has not received that voter change yet.
+ */
+function isHandledAfterRemoval<C>(
+  ctx: StepContext<C>,
+  state: LogCoreState<C>,
+  from: MemberId,
+  {type}: LogMessage<C>,
+): boolean {
+  if (state.role !== 'leader') return type === 'append' || type === 'install';
+  if (type === 'append-reply') return getMemberKey(from) in state.progress;
+  const isVoterName = state.config.voters.some(v => v.name === from.name);
+  return type === 'join' && !isVoterName && canBecomeVoter(ctx, state, from);
+}
+
 function handleSynced<C>(
   ctx: StepContext<C>,
   state: LogCoreState<C>,
--- a/packages/coordination/src/replicated_log/voter_config.ts
+++ b/packages/coordination/src/replicated_log/voter_config.ts
@@ -17,7 +17,7 @@
   for (const {index, replacement, closes} of state.entries) {
     if (replacement) {
       const {voters, removedKeys} = config;
-      const {remove} = replacement;
+      const {remove, add} = replacement;
       const committed = index <= commitIndex;
       config = {
         voters: applyVoterChange(voters, replacement),
@@ -25,10 +25,10 @@
         votersBeforeChange: voters,
         changeIndex: index,
         closingIndex: 0,
-        removedKeys:
-          committed && remove
-            ? [...removedKeys, getMemberKey(remove)]
-            : removedKeys,
+        removedKeys: [
+          ...removedKeys.filter(key => key !== getMemberKey(add)),
+          ...(committed && remove ? [getMemberKey(remove)] : []),
+        ],
       };
     } else if (closes !== undefined) {
       const votersBeforeChange =
--- a/packages/coordination/tests/replicated_log/elections.test.ts
+++ b/packages/coordination/tests/replicated_log/elections.test.ts
@@ -4,6 +4,7 @@
   createInitialState,
   type LogCoreConfig,
 } from '../../src/replicated_log/core_state.js';
+import type {MemberId} from '../../src/replicated_log/members.js';
 import {step} from '../../src/replicated_log/step.js';
 
 const CFG: LogCoreConfig = {
@@ -49,3 +50,55 @@
     expect(sent).to.include.members(['join', 'vote']);
   });
 });
+
+describe('members that were removed', () => {
+  // Guards against a member that ignores its leader for good, because its log
+  // ends before the change that made the leader a voter again.
+  it('are followed when they lead again', () => {
+    const [a, b, c, d, f] = ['a', 'b', 'c', 'd', 'f'].map(name => ({
+      name,
+      incarnation: '1',
+    })) as [MemberId, MemberId, MemberId, MemberId, MemberId];
+    const replacement = {remove: f, add: d};
+    const entry = {
+      index: 1,
+      term: 1,
+      commands: [],
+      durable: false,
+      replacement,
+    };
+    let state = createInitialState<string>(
+      {
+        self: a,
+        voters: [a, b, c, f],
+        term: 1,
+        votedFor: null,
+        snapshot: null,
+        entries: [entry],
+        now: 0,
+        random: 0,
+      },
+      CFG,
+    );
+    const append = {
+      type: 'append' as const,
+      to: '1',
+      prevIndex: 1,
+      prevTerm: 1,
+      entries: [],
+      commit: 1,
+      round: 1,
+    };
+    const receive = (from: MemberId, term: number) => {
+      const message = {...append, term};
+      const event = {type: 'receive' as const, from, message};
+      const result = step(state, {...event, now: 1, random: 0}, CFG);
+      ({state} = result);
+      return result.effects;
+    };
+    receive(b, 1);
+    expect(state.config.removedKeys).to.deep.equal(['f#1']);
+    receive(f, 2);
+    expect(state.leader).to.deep.equal(f);
+  });
+});
--- a/packages/coordination/tests/replicated_log/fault_schedules.test.ts
+++ b/packages/coordination/tests/replicated_log/fault_schedules.test.ts
@@ -1,7 +1,12 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
 
-import {type MessageFaults, TestCluster} from './test_cluster.js';
+import {
+  type MessageFaults,
+  TestCluster,
+  type TestClusterOptions,
+  type TestMember,
+} from './test_cluster.js';
 
 /** One fault, proposal or pause of a schedule. */
 type Action =
@@ -70,6 +75,19 @@
       {seed: GENERATOR_SEED, numRuns: 60, endOnFailure: true},
     )).timeout(120_000);
 
+  // Guards against a vote of a replaced voter, which keeps its disk and may
+  // become a voter again.
+  it('sync-everything, with two spare members that replace silent voters: never loses, changes or reverts an acknowledged command', () =>
+    fc.assert(
+      fc.asyncProperty(schedules, schedule =>
+        runSchedule('sync-everything', {...schedule, size: 5}, 3, {
+          targetVoters: 3,
+          replaceSilentAfterMs: 500,
+        }),
+      ),
+      {seed: GENERATOR_SEED, numRuns: 60, endOnFailure: true},
+    )).timeout(120_000);
+
   // Guards against a voter that needs a majority of the old voters after the
   // leader, which alone knew that the voter change was committed, is lost.
   it('in-memory, seed 2, path 104: the loss of the leader right after a voter change does not stop the group', () =>
@@ -86,15 +104,19 @@
   readonly acknowledged = new Set<string>();
   private readonly mode: 'in-memory' | 'sync-everything';
   private readonly names: readonly string[];
+  private readonly spares: number;
   private proposed = 0;
 
   constructor(
     mode: 'in-memory' | 'sync-everything',
     schedule: Schedule,
     firstVoters: number,
+    log: TestClusterOptions['log'],
   ) {
     this.mode = mode;
     this.names = ['a', 'b', 'c', 'd', 'e'].slice(0, schedule.size);
+    const {targetVoters = this.names.length} = log ?? {};
+    this.spares = this.names.length - targetVoters;
     this.cluster = new TestCluster({
       mode,
       names: this.names,
@@ -106,7 +128,8 @@
         voters: this.names
           .slice(0, firstVoters)
           .map(name => ({name, incarnation: '1'})),
-        targetVoters: this.names.length,
+        targetVoters,
+        ...log,
       },
     });
   }
@@ -146,12 +169,22 @@
     await cluster.run(2000);
     expect(cluster.violations).to.deep.equal([]);
     expect(this.acknowledged.size, 'progress').to.equal(before + 1);
-    for (const {name, machine} of cluster.members.values()) {
+    for (const {name, machine} of this.getReplicas()) {
       expect(machine.items, name).to.include.members([...this.acknowledged]);
       expect(new Set(machine.items).size).to.equal(machine.items.length);
     }
   }
 
+  /** All members; with spare members only the voters, which are running. */
+  private getReplicas(): readonly TestMember[] {
+    const {cluster, spares} = this;
+    const all = [...cluster.members.values()];
+    if (spares === 0) return all;
+    const voters = cluster.findLeader()?.log?.status().voters ?? [];
+    expect(voters).to.have.length(all.length - spares);
+    return all.filter(({name}) => voters.some(voter => voter.name === name));
+  }
+
   private async propose(count: number): Promise<void> {
     for (let i = 0; i < count; i++) {
       const command = `${++this.proposed}`;
@@ -201,8 +234,9 @@
   mode: 'in-memory' | 'sync-everything',
   schedule: Schedule,
   firstVoters = schedule.size,
+  log: TestClusterOptions['log'] = {},
 ): Promise<void> {
-  const run = new ScheduleRun(mode, schedule, firstVoters);
+  const run = new ScheduleRun(mode, schedule, firstVoters, log);
   try {
     await run.cluster.startAll();
     await run.cluster.waitForLeader();
