Test calls while the leader's data centre is unreachable

Cause: existing tests cover a group without a leader and a client without a majority, but not a leader that the others still follow.

Change: a call of a waiting caller through LeaderClient, which reaches two of three members and hears from them of a leader that it cannot reach.

--- a/packages/dispatch/tests/instance/leader_client.test.ts
+++ b/packages/dispatch/tests/instance/leader_client.test.ts
@@ -4,11 +4,16 @@
 import {expect} from 'chai';
 
 import {LeaderClient} from '../../src/instance/leader_client.js';
+import {MAX_ELECTION_MS} from '../../src/instance/log_timing.js';
 import type {Call, GroupView, Reply} from '../../src/messages/calls.js';
 import type {PeerMessage} from '../../src/messages/peer_messages.js';
 import {MIN_RUN_TIME_FRACTION} from '../../src/owner/ready_queue.js';
+import {sleep} from '../../src/owner/waiting.js';
 import {step} from '../owner_harness.js';
 
+/** Time in ms within which a call counts as failed at once. */
+const AT_ONCE_MS = 100;
+
 type CallHandler = (call: Call) => Reply | 'silence' | 'break';
 
 const CALL: Call = {type: 'abandon', job: 'a'};
@@ -235,4 +240,26 @@
     expect(outcome.type).to.equal('unanswered');
     expect(client.isIsolated).to.equal(true);
   });
+
+  // Guards against callers that are held for their whole deadline while the
+  // leader is in a data centre that cannot be reached from here; the others
+  // follow it, so no next leader is to be expected.
+  it('fails a job at once while the others follow a leader that is unreachable', async () => {
+    getMember(1).close();
+    for (const index of [0, 2]) {
+      getMember(index).answer = () => ({type: 'not-leader'});
+      getMember(index).broadcastView(createView(1, 1));
+    }
+    await sleep(2 * MAX_ELECTION_MS + AT_ONCE_MS);
+    expect(client.view?.leader).to.equal(getMember(1).address);
+    expect(client.isIsolated).to.equal(false);
+    const startedAt = performance.now();
+    const outcome = await client.call(createSubmitCall(60), 1_500);
+    expect(outcome).to.deep.equal({
+      type: 'unanswered',
+      mayHaveRun: false,
+      obstacle: 'no-leader',
+    });
+    expect(performance.now() - startedAt).to.be.below(AT_ONCE_MS);
+  });
 });
