Raise the revision of a data centre with each order for it

Cause: an order for the state in force kept the revision, so that an older, contrary order based on it was still accepted when it came late. Change: such an order raises the revision; the state and its time stay. Measured: the new case of evacuations.test.ts was accepted before, and is a conflict now; 410 tests of control, entry and cli pass.

--- a/packages/coordination/src/control/evacuations.ts
+++ b/packages/coordination/src/control/evacuations.ts
@@ -30,23 +30,24 @@
   }
 
   /**
-   * Returns the result of an order. An order for the state in force is accepted
-   * and keeps its revision. Any other order must be based on the last one, so
-   * that a delayed order can't undo a newer one.
+   * Returns the result of an order. It must be based on the last one, so that a
+   * delayed order can't undo a newer one; an order for the state in force is
+   * accepted whatever its base.
    */
   check(command: SetEvacuatedCommand, index: number): FirstControlResult {
     const {dataCentre, evacuated, baseRevision} = command;
     const current = this.records.get(dataCentre);
     const revision = current?.revision ?? 0;
-    if (evacuated === this.isEvacuated(dataCentre)) {
-      return {outcome: 'accepted', revision};
-    }
     // Commands of one log entry share its index, but a revision must identify
     // a single change.
-    if (baseRevision === revision && revision !== index) {
+    if (current && baseRevision === revision && revision !== index) {
       return {outcome: 'accepted', revision: index};
     }
+    if (evacuated === this.isEvacuated(dataCentre)) {
+      return {outcome: 'accepted', revision};
+    }
     if (current === undefined) {
+      if (baseRevision === 0) return {outcome: 'accepted', revision: index};
       const detail = `${dataCentre} was never evacuated`;
       return {outcome: 'invalid', code: 'no-such-revision', detail};
     }
@@ -54,10 +55,17 @@
     return {outcome: 'conflict', winner: {operator, requestId, revision}};
   }
 
-  /** Stores an accepted order that changes the state in force. */
+  /**
+   * Stores an accepted order. An order for the state in force raises the
+   * revision only, so that an older, contrary one that comes late conflicts.
+   */
   store(command: SetEvacuatedCommand, revision: number): void {
     const {dataCentre, evacuated, operator, requestId, atMs} = command;
-    if (evacuated === this.isEvacuated(dataCentre)) return;
+    const current = this.records.get(dataCentre);
+    if (evacuated === this.isEvacuated(dataCentre)) {
+      if (current) this.records.set(dataCentre, {...current, revision});
+      return;
+    }
     this.records.set(dataCentre, {
       dataCentre,
       evacuated,
--- a/packages/coordination/tests/control/evacuations.test.ts
+++ b/packages/coordination/tests/control/evacuations.test.ts
@@ -52,6 +52,19 @@
       {outcome: 'invalid', code: 'request-id-reused'},
       true,
     ],
+    [
+      'a readmission from undoing a newer order for the state in force',
+      [
+        START,
+        order('r2', {baseRevision: FIRST}),
+        order('r3', {evacuated: false, baseRevision: FIRST}),
+      ],
+      {
+        outcome: 'conflict',
+        winner: {operator: 'ada', requestId: 'r1', revision: 3},
+      },
+      true,
+    ],
     [
       'a late evacuation from undoing a newer readmission',
       [START, END, order('r3', {baseRevision: FIRST})],
