--- a/packages/coordination/src/replicated_log/step.ts
+++ b/packages/coordination/src/replicated_log/step.ts
@@ -40,7 +40,7 @@
 import type {LogMessage} from './log_messages.js';
 import {getMemberKey, isSameMember, type MemberId} from './members.js';
 import type {StepContext} from './step_context.js';
-import {promoteLearner} from './voter_changes.js';
+import {canBecomeVoter, promoteLearner} from './voter_changes.js';
 import {deriveVoterConfig} from './voter_config.js';
 import {handleVoteRequest} from './votes.js';
 
