Keep ended jobs for the configured time after a clock step

Cause: ended jobs were removed by the time of day alone. After a step forward on the leader, or a job that ended during a step back, its state was gone by that step too early, and a repeated submission would have run the job again.

--- a/packages/dispatch/src/owner/owner.ts
+++ b/packages/dispatch/src/owner/owner.ts
@@ -13,6 +13,7 @@
 import type {UpstreamPort} from '../upstreams/upstream_port.js';
 import {CallHandler} from './call_handler.js';
 import {Dispatcher} from './dispatcher.js';
+import {computeExpiryBefore} from './ended_jobs.js';
 import {JobTable} from './job_table.js';
 import {MeasuredPort} from './measured_port.js';
 import {OrderGate, type OrderObstacle} from './order_gate.js';
@@ -248,7 +249,7 @@
     if (speeds) this.options.shareSpeeds?.(speeds);
     this.sweepCount++;
     if (this.sweepCount % SWEEPS_PER_EXPIRY !== 0) return;
-    const before = Date.now() - this.options.keepEndedMs;
+    const before = computeExpiryBefore(this.options.keepEndedMs);
     this.proposer.propose({type: 'expire', before}).catch(() => undefined);
   }
 
