--- a/packages/dispatch/tests/instance/evacuation_requests.test.ts
+++ b/packages/dispatch/tests/instance/evacuation_requests.test.ts
@@ -131,6 +131,20 @@
     expect(await getRecord(0)).to.equal('open 0 0');
   });
 
+  for (const ms of [5_000, -5_000]) {
+    // Guards against requests that count as late for as long as the time of day
+    // is wrong, or after it was set right.
+    it(`acknowledges requests at once after a step by ${ms} ms, and back`, async () => {
+      for (const [revision, step] of [ms, -ms].entries()) {
+        group.clock.setSystemTime(Date.now() + step);
+        await group.run(250);
+        const request = group.request(group.follower, revision === 0);
+        expect(await group.waitFor(request)).to.equal('in-force');
+      }
+      expect(await getRecord(2)).to.equal('open 2 1');
+    });
+  }
+
   for (const type of ['read-evacuations', 'evacuate'] as const) {
     it(`adds one entry after a lost ${type}`, async () => {
       const {follower} = group;
