--- a/tests/test_verdict.test.ts
+++ b/tests/test_verdict.test.ts
@@ -86,6 +86,14 @@
       expected: [1, 0],
       says: 'not run here',
     },
+    {
+      title: 'prints a listed demo without counting it',
+      report: reportOf(['a'], [], []),
+      known: [{...SOAK, command: 'npm run demo'}],
+      exitCode: 0,
+      expected: [1, 0],
+      says: 'not run here',
+    },
     {
       title: 'fails when a test was skipped',
       report: reportOf(['a'], [], ['b']),
