Share how operator routes answer a refused change

Cause: the routes of evacuations and of answers each turned results of the control log into problems; a class had the name of another type; comments of pure decisions spoke of clocks that they don't read. Change: requireAccepted in operator_requests.ts; MessageArrival; comments.

--- a/packages/decisions/src/health/outlier_ejection.ts
+++ b/packages/decisions/src/health/outlier_ejection.ts
@@ -29,7 +29,7 @@
   readonly ok: boolean;
   readonly runMs: number;
   readonly expectedMs: number;
-  /** When the attempt started, by the clock of `now`; may be unknown. */
+  /** When the attempt started, on the time base of `now`; may be unknown. */
   readonly startedAtMs?: number;
 }
 
--- a/packages/decisions/src/limits/leader_wait.ts
+++ b/packages/decisions/src/limits/leader_wait.ts
@@ -7,7 +7,7 @@
  * whole deadline and load the next leader with work that nobody waits for.
  */
 
-/** A request without a leader. Times are of one monotonic clock, in ms. */
+/** A request without a leader. Times are in ms on one time base. */
 export interface LeaderWait {
   readonly now: number;
   /** Since when no leader is known. */
--- a/packages/decisions/src/limits/return_schedule.ts
+++ b/packages/decisions/src/limits/return_schedule.ts
@@ -8,7 +8,7 @@
  * be spare in a later second, and the next one gets what is left.
  */
 
-/** A refused request. Times are in ms, of one monotonic clock. */
+/** A refused request. Times are in ms on one time base. */
 export interface RefusedRequest {
   readonly now: number;
   /** Work that the request would take, in any unit. */
@@ -37,7 +37,7 @@
 
 /** Capacity of later seconds that is reserved for callers that come back. */
 export class ReturnSchedule {
-  /** Reserved work, by second of the clock. */
+  /** Reserved work, by second of that time base. */
   private readonly reserved = new Map<number, number>();
   private firstSecond = 0;
 
--- a/packages/dispatch/src/instance/arrival_clock.ts
+++ b/packages/dispatch/src/instance/arrival_clock.ts
@@ -13,7 +13,7 @@
  * clock stops and the wall clock goes on; a step back of the wall clock must
  * not make the message younger. So the larger of the two elapsed times counts.
  */
-export class Arrival {
+export class MessageArrival {
   constructor(private readonly earliest: Reading) {}
 
   /** Largest possible time in ms since the arrival. */
@@ -40,9 +40,9 @@
     READING_INTERVAL_MS,
   ).unref();
 
-  /** Arrival of a message that the process reads now. */
-  get arrivalNow(): Arrival {
-    return new Arrival(this.secondToLast);
+  /** MessageArrival of a message that the process reads now. */
+  get arrivalNow(): MessageArrival {
+    return new MessageArrival(this.secondToLast);
   }
 
   close(): void {
--- a/packages/dispatch/src/instance/evacuation_requests.ts
+++ b/packages/dispatch/src/instance/evacuation_requests.ts
@@ -2,7 +2,7 @@
 import type {Logger} from '@mustardferry/runtime';
 
 import type {Call, Reply} from '../messages/calls.js';
-import {type Arrival, ArrivalClock} from './arrival_clock.js';
+import {ArrivalClock,type MessageArrival} from './arrival_clock.js';
 import type {CallOutcome} from './call_outcome.js';
 
 /** Request of an operator that any instance may receive. */
@@ -77,7 +77,7 @@
 
   private async findOutcome(
     request: EvacuationRequest,
-    arrival: Arrival,
+    arrival: MessageArrival,
   ): Promise<EvacuationOutcome> {
     const {dataCentre, evacuated, operator} = request;
     const isKnown = this.options.getKnownDataCentres().includes(dataCentre);
@@ -103,7 +103,7 @@
   /** Returns the reply, or null if none arrives in time. */
   private async send(
     call: Call,
-    arrival: Arrival,
+    arrival: MessageArrival,
     isWanted: () => boolean,
   ): Promise<Reply | null> {
     const leftMs = REQUEST_TIMEOUT_MS - arrival.ageMs;
--- a/packages/entry/src/http/evacuation_routes.ts
+++ b/packages/entry/src/http/evacuation_routes.ts
@@ -1,13 +1,9 @@
 /** Routes for operators that evacuate and readmit data centres. */
+import type {FirstControlResult} from '@mustardferry/coordination';
 import type {
-  ControlResult,
-  FirstControlResult,
-} from '@mustardferry/coordination';
-import {
-  assertNever,
-  type EvacuationAccepted,
-  type EvacuationsView,
-  type EvacuationView,
+  EvacuationAccepted,
+  EvacuationsView,
+  EvacuationView,
 } from '@mustardferry/model';
 import type {FastifyInstance, FastifyRequest} from 'fastify';
 
@@ -18,6 +14,7 @@
   proposed,
   requestedRevision,
   requestIdOf,
+  requireAccepted,
   requireState,
 } from './operator_requests.js';
 import {fail} from './problems.js';
@@ -34,25 +31,12 @@
   readonly Params: {readonly dataCentre: string};
 }
 
-function refuse(
-  result: Exclude<FirstControlResult, {outcome: 'accepted'}>,
-): never {
-  switch (result.outcome) {
-    case 'conflict': {
-      const {operator, requestId, revision} = result.winner;
-      return fail(
-        'revision-conflict',
-        `Order ${revision} by ${operator} (request ${requestId}) came first.`,
-      );
-    }
-    case 'invalid':
-      if (result.code === 'unknown-data-centre') {
-        return fail('unknown-data-centre', result.detail);
-      }
-      return fail('invalid-body', `${result.code}: ${result.detail}`);
-    default:
-      return assertNever(result);
-  }
+function refuseInvalid({
+  code,
+  detail,
+}: Extract<FirstControlResult, {outcome: 'invalid'}>): never {
+  if (code === 'unknown-data-centre') return fail(code, detail);
+  return fail('invalid-body', `${code}: ${detail}`);
 }
 
 function requireDataCentre(
@@ -97,7 +81,7 @@
   const {dataCentre} = req.params;
   const requestId = requestIdOf(req);
   requireDataCentre(options, dataCentre);
-  const result: ControlResult = await proposed(() =>
+  const result = await proposed(() =>
     control.propose({
       type: 'set-evacuated',
       dataCentre,
@@ -108,16 +92,8 @@
       atMs: Date.now(),
     }),
   );
-  const repeated = result.outcome === 'repeated';
-  const first = repeated ? result.first : result;
-  if (first.outcome !== 'accepted') return refuse(first);
-  return {
-    dataCentre,
-    evacuated,
-    revision: first.revision,
-    requestId,
-    repeated,
-  };
+  const accepted = requireAccepted(result, refuseInvalid);
+  return {dataCentre, evacuated, requestId, ...accepted};
 }
 
 function viewOf(control: ControlService, dataCentre: string): EvacuationView {
--- a/packages/entry/src/http/operator_requests.ts
+++ b/packages/entry/src/http/operator_requests.ts
@@ -1,5 +1,9 @@
 /** What the routes for operators have in common. */
-import type {ControlResult} from '@mustardferry/coordination';
+import type {
+  ControlResult,
+  FirstControlResult,
+} from '@mustardferry/coordination';
+import {assertNever} from '@mustardferry/model';
 import type {FastifyRequest} from 'fastify';
 
 import {
@@ -74,3 +78,39 @@
     retryAfterSeconds: 1,
   });
 }
+
+/** A change that was accepted, now or when it was first requested. */
+export interface AcceptedChange {
+  readonly revision: number;
+  readonly repeated: boolean;
+}
+
+/**
+ * Returns the revision of an accepted change; fails the request otherwise.
+ *
+ * @param refuseInvalid Fails the request for a change that is invalid.
+ */
+export function requireAccepted(
+  result: ControlResult,
+  refuseInvalid: (
+    invalid: Extract<FirstControlResult, {outcome: 'invalid'}>,
+  ) => never,
+): AcceptedChange {
+  const repeated = result.outcome === 'repeated';
+  const first = repeated ? result.first : result;
+  switch (first.outcome) {
+    case 'accepted':
+      return {revision: first.revision, repeated};
+    case 'conflict': {
+      const {operator, requestId, revision} = first.winner;
+      return fail(
+        'revision-conflict',
+        `Revision ${revision} by ${operator} (request ${requestId}) came first.`,
+      );
+    }
+    case 'invalid':
+      return refuseInvalid(first);
+    default:
+      return assertNever(first);
+  }
+}
--- a/packages/entry/src/http/operator_routes.ts
+++ b/packages/entry/src/http/operator_routes.ts
@@ -1,9 +1,6 @@
 /** Routes for operators. */
 import {AnswersError, generatePolicy} from '@mustardferry/config';
-import type {
-  ControlResult,
-  FirstControlResult,
-} from '@mustardferry/coordination';
+import type {FirstControlResult} from '@mustardferry/coordination';
 import type {
   AnswersAccepted,
   AnswersView,
@@ -13,7 +10,6 @@
   TeamPolicy,
   UpstreamView,
 } from '@mustardferry/model';
-import {assertNever} from '@mustardferry/model';
 import type {FastifyInstance, FastifyReply} from 'fastify';
 
 import type {ControlService} from '../control/control_service.js';
@@ -23,6 +19,7 @@
   proposed,
   requestedRevision,
   requestIdOf,
+  requireAccepted,
   requireState,
 } from './operator_requests.js';
 import {fail} from './problems.js';
@@ -70,32 +67,11 @@
   return value;
 }
 
-function refuse(
-  result: Exclude<FirstControlResult, {outcome: 'accepted'}>,
-): never {
-  switch (result.outcome) {
-    case 'conflict': {
-      const {operator, requestId, revision} = result.winner;
-      return fail(
-        'revision-conflict',
-        `Revision ${revision} by ${operator} (request ${requestId}) came first.`,
-      );
-    }
-    case 'invalid':
-      return fail('answers-invalid', `${result.code}: ${result.detail}`);
-    default:
-      return assertNever(result);
-  }
-}
-
-function revisionOf(result: ControlResult): {
-  readonly revision: number;
-  readonly repeated: boolean;
-} {
-  const repeated = result.outcome === 'repeated';
-  const first = result.outcome === 'repeated' ? result.first : result;
-  if (first.outcome !== 'accepted') return refuse(first);
-  return {revision: first.revision, repeated};
+function refuseInvalid({
+  code,
+  detail,
+}: Extract<FirstControlResult, {outcome: 'invalid'}>): never {
+  return fail('answers-invalid', `${code}: ${detail}`);
 }
 
 function sendAnswers(
@@ -138,7 +114,11 @@
         atMs: Date.now(),
       }),
     );
-    const body: AnswersAccepted = {team, requestId, ...revisionOf(result)};
+    const body: AnswersAccepted = {
+      team,
+      requestId,
+      ...requireAccepted(result, refuseInvalid),
+    };
     return res.header('etag', `"${body.revision}"`).send(body);
   });
 }
