Count each queued job that is refused, for any reason

Cause: of the queued jobs that were refused, only those of evacuations counted in jobs.refused: a special case in the code that drops them. Change: each refusal counts whose caller waits; callers that left don't.

--- a/packages/dispatch/src/owner/transient_jobs.ts
+++ b/packages/dispatch/src/owner/transient_jobs.ts
@@ -81,7 +81,7 @@
   /** Drops a job whose caller has disconnected. */
   dropDisconnected(id: string): void {
     const job = this.findOpen(id);
-    if (job) this.drop(job, 'caller gone', {reason: 'not-in-time'});
+    if (job) this.drop(job, 'caller gone', null);
   }
 
   /**
@@ -122,10 +122,15 @@
     return job?.admitted.durable ? undefined : job;
   }
 
-  private drop(job: OpenJob, cause: string, refusal: DroppedJobRefusal): void {
+  /** @param refusal Null if no caller waits for the reply. */
+  private drop(
+    job: OpenJob,
+    cause: string,
+    refusal: DroppedJobRefusal | null,
+  ): void {
     const {dispatcher, logger, metrics} = this.options;
     const {id} = job.admitted;
-    const {reason, ...advice} = refusal;
+    const {reason, ...advice} = refusal ?? {reason: 'not-in-time'};
     const started =
       job.started ||
       !job.isNew ||
@@ -142,9 +147,7 @@
     const reply: Reply = started
       ? {type: 'given-up', ...advice}
       : {type: 'refused', reason, ...advice};
-    if (!started && reason === 'evacuated') {
-      metrics.increment('jobs.refused', 1, {reason});
-    }
+    if (!started && refusal) metrics.increment('jobs.refused', 1, {reason});
     this.resolveReply(id, reply);
   }
 
