--- a/packages/dispatch/src/instance/evacuation_requests.ts
+++ b/packages/dispatch/src/instance/evacuation_requests.ts
@@ -2,7 +2,7 @@
 import type {Logger} from '@mustardferry/runtime';
 
 import type {Call, Reply} from '../messages/calls.js';
-import {ArrivalClock,type MessageArrival} from './arrival_clock.js';
+import {ArrivalClock, type MessageArrival} from './arrival_clock.js';
 import type {CallOutcome} from './call_outcome.js';
 
 /** Request of an operator that any instance may receive. */
