Show jobs that are lost to a worker with an earlier start time

Cause: answers of a worker's new life whose start time is below the known one are ignored, and its session stays live.

--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -2,6 +2,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {fileURLToPath, URL} from 'node:url';
 
+import {judgeLostJobs} from '../kit-2/lost_jobs.mjs';
 import {HAS_TROUBLE, play} from '../kit-2/play.mjs';
 
 const ROUNDS = 3;
@@ -21,12 +22,6 @@
 /** Longest last life in ms; each is drawn. */
 const LAST_LIFE_MS = 20;
 
-/** `finish_s` */
-const FINISH_MS = 14_000;
-
-/** Time in ms for which nothing of a lost job runs. */
-const IDLE_MS = 3_000;
-
 function createJob() {
   const step = {count: 2, cpu: 1_000, memoryRequestMb: 64, estimatedMs: 900};
   return {ms: [900], steps: [step]};
@@ -40,21 +35,10 @@
   worker.crash();
 }
 
-/** Jobs that were accepted and have not ended. */
-async function findOpen({callers, ledger}) {
-  const open = [];
-  for (const job of ledger.jobs.values()) {
-    if (job.outcome !== 'accepted') continue;
-    const state = await callers.state(job);
-    if (state !== 'completed' && state !== 'failed') open.push({job, state});
-  }
-  return open;
-}
-
 const folder = fileURLToPath(new URL('.', import.meta.url));
 
 await play(folder, {workers: WORKERS}, async setting => {
-  const {callers, ledger, workers} = setting;
+  const {callers, workers} = setting;
   let goesOn = true;
   const traffic = callers.run(RATE, createJob, () => goesOn);
   for (let round = 0; round < ROUNDS; round++) {
@@ -66,13 +50,5 @@
   await sleep(PERIOD_MS);
   goesOn = false;
   await traffic;
-  await sleep(FINISH_MS);
-  const {started} = ledger.counts;
-  const isIdle = [...ledger.active.values()].every(runs => runs.size === 0);
-  const open = await findOpen(setting);
-  await sleep(IDLE_MS);
-  const nothingRan = isIdle && ledger.counts.started === started;
-  for (const {job, state} of open) {
-    if (nothingRan) ledger.fault('LOST', {job: job.id, state});
-  }
+  await judgeLostJobs(setting);
 });
--- a/review/kit-2/worker.mjs
+++ b/review/kit-2/worker.mjs
@@ -27,6 +27,8 @@
   heartbeatAddress = null;
   life = null;
   state = 'ready';
+  /** By how much the time of day is ahead on its machine, in ms. */
+  aheadMs = 0;
 
   /**
    * @param options `id`, `host`, `port`, `zone`, `labels`, `capacity`,
@@ -45,7 +47,7 @@
   /** Begins a life: listens, then sends its first heartbeat. */
   async start() {
     const life = {
-      born: Date.now(),
+      born: Date.now() + this.aheadMs,
       startedAt: performance.now(),
       sequence: 0,
       token: 0,
