--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -1,71 +1,67 @@
-/** The leader freezes while jobs that must be stored come in. */
-import {clearTimeout, setTimeout} from 'node:timers';
+/** A member that relays orders freezes, and workers restart meanwhile. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {fileURLToPath, URL} from 'node:url';
 
 import {HAS_TROUBLE, newLeader, play} from '../kit-2/play.mjs';
 
-const ROUNDS = 8;
+const ROUNDS = 9;
+const WORKERS = 24;
 
-/** Groups of jobs a second, and jobs in each. */
-const RATE = 8;
-const GROUP_SIZE = 12;
+/** Jobs a second. */
+const RATE = 100;
 
 const FREEZE_MS = 3_500;
 
-/** Jobs in progress of being stored when the leader freezes. */
-const BUSY_JOBS = 5;
-const BUSY_WITHIN_MS = 3_000;
+/** Time in ms from the freeze to the crash of workers, and their time down. */
+const CRASH_AFTER_MS = 1_500;
+const DOWN_MS = 500;
 
-/** Pause in ms before each freeze. */
-const CALM_MS = 7_000;
+/** Workers that crash: 0.14 of all. */
+const CRASHING = 3;
+
+/** Pause in ms before each round. */
+const CALM_MS = 5_000;
 
-/** One task that ends soon, and one that takes 0.9 s, of a stored job. */
 function createJob() {
   return {
-    ms: [30, 900],
+    ms: [60, 200],
     steps: [
-      {count: 1, cpu: 1_000, memoryRequestMb: 64, estimatedMs: 30},
-      {count: 1, cpu: 1_000, memoryRequestMb: 64, estimatedMs: 900},
+      {count: 1, cpu: 1_000, memoryRequestMb: 64, estimatedMs: 60},
+      {count: 1, cpu: 1_000, memoryRequestMb: 64, estimatedMs: 200},
     ],
   };
 }
 
-/** Waits until tasks of several jobs have begun that are not answered yet. */
-function untilBusy({ledger}) {
-  return new Promise(resolve => {
-    const timer = setTimeout(resolve, BUSY_WITHIN_MS);
-    const begun = new Set();
-    ledger.onStarted = (_worker, task) => {
-      begun.add(ledger.jobOf(task));
-      for (const job of begun) if (job.outcome !== 'open') begun.delete(job);
-      if (begun.size < BUSY_JOBS) return;
-      ledger.onStarted = null;
-      clearTimeout(timer);
-      resolve();
-    };
-  });
+async function restart(worker) {
+  worker.crash();
+  await sleep(DOWN_MS);
+  await worker.start();
 }
 
 const folder = fileURLToPath(new URL('.', import.meta.url));
 
-await play(folder, {workers: 16}, async setting => {
-  const {callers} = setting;
+await play(folder, {workers: WORKERS}, async setting => {
+  const {callers, deployment, ledger, workers} = setting;
   let goesOn = true;
-  const traffic = callers.run(RATE, createJob, () => goesOn, GROUP_SIZE);
+  const traffic = callers.run(RATE, createJob, () => goesOn);
   for (let round = 0; round < ROUNDS; round++) {
     await sleep(CALM_MS);
     const leader = await newLeader(setting, null, 3_000);
     if (!leader) throw new Error('no leader is known');
-    if (HAS_TROUBLE) {
-      await untilBusy(setting);
-      leader.signal('SIGSTOP');
-    }
-    await sleep(FREEZE_MS);
-    if (HAS_TROUBLE) leader.signal('SIGCONT');
-    if (setting.ledger.broken.length > 0) break;
+    const others = deployment.members.filter(each => each !== leader);
+    const member = others[round % others.length];
+    if (HAS_TROUBLE) member.signal('SIGSTOP');
+    await sleep(CRASH_AFTER_MS);
+    const drawn = [...workers].sort(() => Math.random() - 0.5);
+    const crashing = HAS_TROUBLE ? drawn.slice(0, CRASHING) : [];
+    await Promise.all(crashing.map(restart));
+    await sleep(FREEZE_MS - CRASH_AFTER_MS - DOWN_MS);
+    if (HAS_TROUBLE) member.signal('SIGCONT');
+    await sleep(1_000);
+    if (ledger.broken.length > 0 || ledger.lateStarts.length > 0) break;
   }
+  await sleep(2_000);
   goesOn = false;
   await traffic;
-  await sleep(4_000);
+  await sleep(3_000);
 });
