Keep the order of steps after the end of a discarded run

Seen: a job whose caller has disconnected and that is submitted again may start a task before the step that the task depends on (ORDER). Cause: a task that waits for the end of a discarded run was made ready with that end, whether the steps before it were done or not. Change: a requeued task is blocked again while a step before it is not done; the end of that step unblocks it.

--- a/packages/dispatch/src/owner/job_table.ts
+++ b/packages/dispatch/src/owner/job_table.ts
@@ -113,11 +113,15 @@
     }
   }
 
-  /** Requeues a task whose run ended without a result. */
+  /**
+   * Requeues a task whose run ended without a result. It is blocked again if an
+   * earlier step that this leader has to run is not done.
+   */
   requeue(task: OpenTask): void {
     task.run = null;
     if (task.job.closed || task.phase === 'ended') return;
-    this.makeReady(task);
+    if (isStepReady(task.job, task.step)) this.makeReady(task);
+    else task.phase = 'blocked';
   }
 
   /** Marks a task as done and unblocks the steps that depend on it. */
@@ -188,7 +192,7 @@
 
   private unblock(job: OpenJob): void {
     job.admitted.steps.forEach((step, index) => {
-      if (step.after.some(earlier => (job.remaining[earlier] ?? 0) > 0)) return;
+      if (!isStepReady(job, step)) return;
       for (const task of job.tasks[index] ?? []) {
         if (task.phase === 'blocked') this.makeReady(task);
       }
@@ -209,6 +213,11 @@
   }
 }
 
+/** Whether all steps that a step depends on are done. */
+function isStepReady({remaining}: OpenJob, {after}: Step): boolean {
+  return after.every(earlier => (remaining[earlier] ?? 0) === 0);
+}
+
 function createTasks(
   job: OpenJob,
   step: Step,
