Match a job placed from its record with its listed runs

Cause: a job of which ends were listed before its admission is placed from its record. This path did not look at the orphaned runs of the job, other than the usual one, so that all its tasks without an end became ready. Evidence: 13 cases of uncommitted_admissions.test.ts fail before the change; they end an owner between the starts of a job and the commit of its admission, and submit the job again 0 to 200 ms after the next one leads. Change: JobAdmission matches an admitted job with its runs and ends on both paths. An adopted run leaves the table of orphans, as it would otherwise be stopped with the runs of forgotten jobs.

--- a/packages/dispatch/src/owner/call_handler.ts
+++ b/packages/dispatch/src/owner/call_handler.ts
@@ -182,7 +182,7 @@
     metrics.increment('jobs.accepted');
     metrics.timing('jobs.admission', performance.now() - now);
     this.logAcceptedJob(admitted, queue, performance.now() - now);
-    if (!isPlacedEarly) this.placeRecordedJob(job.id, queue, now);
+    if (!isPlacedEarly) this.placeRecordedJob(job.id, queue);
     return {type: 'accepted'};
   }
 
@@ -236,14 +236,12 @@
   }
 
   /** Places a job with run ends that were committed before its admission. */
-  private placeRecordedJob(id: string, queue: QueueConfig, now: number): void {
+  private placeRecordedJob(id: string, queue: QueueConfig): void {
     const {jobTable, dispatcher, state, term} = this.options;
     dispatcher.earlyEndJobs.delete(id);
     const record = state.jobs.get(id);
     if (record?.outcome !== 'open' || jobTable.job(id)) return;
-    const job = jobTable.recover(record, queue, now, term);
-    if (dispatcher.isRecoveryComplete) jobTable.completeRecovery([job]);
-    dispatcher.schedule();
+    dispatcher.addRecordedJob(record, queue, term);
   }
 
   private state(host: string, path: string): Reply {
--- a/packages/dispatch/src/owner/dispatcher.ts
+++ b/packages/dispatch/src/owner/dispatcher.ts
@@ -2,13 +2,10 @@
 import {OutlierEjection} from '@mustardferry/decisions';
 import type {Logger, Metrics} from '@mustardferry/runtime';
 
+import type {JobRecord} from '../jobs/commands.js';
 import type {QueueConfig} from '../jobs/configuration.js';
 import type {DispatchState} from '../jobs/dispatch_state.js';
-import {
-  type AdmittedJob,
-  getTaskKey,
-  type JobRequest,
-} from '../jobs/job_types.js';
+import type {AdmittedJob, JobRequest} from '../jobs/job_types.js';
 import type {
   ActiveRun,
   RunEnd,
@@ -16,6 +13,7 @@
 } from '../upstreams/upstream_port.js';
 import {DiscardedRuns} from './discarded_runs.js';
 import {EvacuationEffects} from './evacuation_effects.js';
+import {JobAdmission} from './job_admission.js';
 import type {JobTable} from './job_table.js';
 import type {Arrival, Run} from './job_table_types.js';
 import {LostRuns} from './lost_runs.js';
@@ -81,6 +79,7 @@
   });
   private readonly discardedRuns = new DiscardedRuns();
   private readonly orphanedRuns: OrphanedRuns;
+  private readonly admission: JobAdmission;
   private readonly starter: RunStarter;
   private readonly outcomes: TaskOutcomes;
   private readonly stragglers: Stragglers;
@@ -89,10 +88,12 @@
 
   constructor(private readonly options: DispatcherOptions) {
     const {health, discardedRuns} = this;
-    this.orphanedRuns = new OrphanedRuns({
-      ...options,
-      discardedRuns,
-      isRecoveryComplete: () => this.isRecoveryComplete,
+    const isRecoveryComplete = () => this.isRecoveryComplete;
+    const recovery = {...options, discardedRuns, isRecoveryComplete};
+    this.orphanedRuns = new OrphanedRuns(recovery);
+    this.admission = new JobAdmission({
+      ...recovery,
+      orphanedRuns: this.orphanedRuns,
     });
     const placement = new PlacementPolicy(health, options.remoteFactor);
     const shared = {...options, placement, health, discardedRuns};
@@ -200,20 +201,19 @@
 
   /** Adds a job and starts those of its tasks that fit. */
   addJob(job: AdmittedJob, queue: QueueConfig, arrival: Arrival): void {
-    const {jobTable, state} = this.options;
-    const created = jobTable.admit(job, queue, arrival, task =>
-      this.discardedRuns.get(task),
-    );
-    for (const {task, outcome} of state.getEarlyEnds(job.id)) {
-      const known = jobTable.task(getTaskKey(task));
-      if (known && outcome === 'done') jobTable.completeTask(known);
-    }
-    this.orphanedRuns.adoptOrphansOf(created);
+    const created = this.admission.add(job, queue, arrival);
     this.evacuations.reviewJob(job.id);
     this.schedule();
     if (!job.durable) this.outcomes.endTransientJob(created);
   }
 
+  /** Adds a job with run ends that were committed before its admission. */
+  addRecordedJob(record: JobRecord, queue: QueueConfig, term: number): void {
+    this.admission.addRecorded(record, queue, term);
+    this.evacuations.reviewJob(record.job.id);
+    this.schedule();
+  }
+
   /** Removes a cancelled or abandoned job and stops its runs. */
   dropJob(job: string): void {
     this.outcomes.stopRuns(this.options.jobTable.closeJob(job));
--- a/packages/dispatch/src/owner/orphaned_runs.ts
+++ b/packages/dispatch/src/owner/orphaned_runs.ts
@@ -57,12 +57,13 @@
     const {jobTable, state, isRecoveryComplete} = this.options;
     const key = getTaskKey(active.task);
     const task = jobTable.task(key);
-    if (task?.phase === 'unknown' || task?.phase === 'ready') {
+    const listed = this.orphans.get(key) ?? [];
+    const known = listed.find(orphan => isRun(orphan, session, active.run));
+    if (task && canAdopt(task)) {
+      if (known) this.remove(key, orphan => orphan === known);
       this.adoptRun(task, session, active);
       return;
     }
-    const listed = this.orphans.get(key) ?? [];
-    const known = listed.find(orphan => isRun(orphan, session, active.run));
     if (known) {
       // The stop may have been lost, as the run is still listed.
       if (known.stopping) void session.forbidRun(active);
@@ -90,13 +91,14 @@
 
   /**
    * Adopts the orphaned runs of a job that was submitted again. A task whose
-   * run is already being stopped is held until that run ends.
+   * run is already being stopped is held until that run ends. To be called
+   * before any of its tasks may start.
    */
   adoptOrphansOf(job: OpenJob): void {
     if (this.orphans.size === 0) return;
     for (const task of job.tasks.flat()) {
       const listed = this.orphans.get(task.key);
-      if (!listed || task.phase !== 'ready') continue;
+      if (!listed || !canAdopt(task)) continue;
       const [only] = listed;
       if (only && listed.length === 1 && !only.stopping) {
         this.orphans.delete(task.key);
@@ -185,6 +187,11 @@
   }
 }
 
+/** Whether a task has no run here, and may have one that is listed. */
+function canAdopt({phase}: OpenTask): boolean {
+  return phase === 'unknown' || phase === 'ready';
+}
+
 function isRun(
   {session, active}: Orphan,
   ofSession: UpstreamSession,
