Adopt the listed run of a task that waits for an earlier step

Seen: after a killed leader, a job that its caller submits again runs a task twice at a time, if the task depends on a step that runs again (TWICE). It needs no stored job and no planned stop. Cause: only ready and recovered tasks adopted a listed run; a blocked one was left beside it, and started once the step before it was done on another upstream. Evidence: 'adopts the run of a task that waits for an earlier step' fails before the change (job/1/0 on u0 and u1 at a time). Change: blocked tasks adopt their listed runs.

--- a/packages/dispatch/src/owner/orphaned_runs.ts
+++ b/packages/dispatch/src/owner/orphaned_runs.ts
@@ -187,9 +187,13 @@
   }
 }
 
-/** Whether a task has no run here, and may have one that is listed. */
+/**
+ * Whether a task has no run here, and may have one that is listed. That also
+ * holds for a blocked task: the steps that it depends on were done under the
+ * earlier owner, and may have to run again under this one.
+ */
 function canAdopt({phase}: OpenTask): boolean {
-  return phase === 'unknown' || phase === 'ready';
+  return phase === 'unknown' || phase === 'ready' || phase === 'blocked';
 }
 
 function isRun(
--- a/packages/dispatch/tests/owner/owner_schedules.test.ts
+++ b/packages/dispatch/tests/owner/owner_schedules.test.ts
@@ -2,7 +2,12 @@
 import {expect} from 'chai';
 import prand from 'pure-rand';
 
-import {type Delivery, findOverlappingRuns} from '../fake_upstreams.js';
+import type {Step} from '../../src/jobs/job_types.js';
+import {
+  type Delivery,
+  findOverlappingRuns,
+  type RunSpan,
+} from '../fake_upstreams.js';
 import {OwnerHarness, step} from '../owner_harness.js';
 
 const UPSTREAMS = 4;
@@ -36,16 +41,64 @@
   }
 }
 
-async function runWithFaults(seed: number): Promise<readonly string[]> {
+/** Steps of each job where tasks depend on others. */
+const DEPENDENT_STEPS = [step(2), step(2, {after: [0], declaredMs: 200})];
+
+/** Time in ms after which a submission is interrupted before its commit. */
+const BEFORE_COMMIT_MS = 5;
+
+/** What differs between the schedules. */
+interface Variant {
+  readonly createSteps: (random: SeededRandom) => readonly Step[];
+  /** Percentage of the submissions whose owner is killed before their commit. */
+  readonly uncommittedPercent: number;
+}
+
+const INDEPENDENT: Variant = {
+  createSteps: random => [step(1 + random.nextBelow(3), {declaredMs: 200})],
+  uncommittedPercent: 0,
+};
+
+const DEPENDENT: Variant = {
+  createSteps: () => DEPENDENT_STEPS,
+  uncommittedPercent: 20,
+};
+
+/** Returns the runs of a second step that began before the first was done. */
+function findEarlyRuns(spans: readonly RunSpan[]): string[] {
+  return spans
+    .filter(({task, from}) => {
+      const [job, stepIndex] = task.split('/');
+      if (stepIndex !== '1') return false;
+      return [0, 1].some(
+        index =>
+          !spans.some(
+            each =>
+              each.task === `${job}/0/${index}` &&
+              each.outcome === 'done' &&
+              each.to <= from,
+          ),
+      );
+    })
+    .map(({task, run, upstream}) => `${task}: ${upstream}/${run} is early`);
+}
+
+async function runWithFaults(
+  seed: number,
+  variant = INDEPENDENT,
+): Promise<readonly string[]> {
   const random = new SeededRandom(seed);
   const harness = new OwnerHarness(UPSTREAMS);
   try {
     await harness.setUp();
-    for (let i = 0; i < STEPS; i++) await performAction(harness, random, i);
+    for (let i = 0; i < STEPS; i++) {
+      await performAction(harness, random, i, variant);
+    }
     for (const each of harness.upstreams) each.delivery = () => 'delivered';
     if (!harness.owner) await harness.startOwner();
     await harness.advanceClock(6_000);
-    return findOverlappingRuns(harness.spans);
+    const {spans} = harness;
+    return [...findOverlappingRuns(spans), ...findEarlyRuns(spans)];
   } finally {
     await harness.close();
   }
@@ -55,6 +108,7 @@
   harness: OwnerHarness,
   random: SeededRandom,
   index: number,
+  {createSteps, uncommittedPercent}: Variant,
 ): Promise<void> {
   const upstream = harness.upstream(random.nextBelow(UPSTREAMS));
   const action = random.nextBelow(100);
@@ -64,10 +118,14 @@
   if (!harness.owner) {
     if (random.nextChance(60)) await harness.startOwner();
   } else if (action < 45) {
-    const steps = [step(1 + random.nextBelow(3), {declaredMs: 200})];
+    const steps = createSteps(random);
     void (durable
       ? harness.submitDurable(id, steps)
       : harness.submit(id, steps));
+    if (uncommittedPercent > 0 && random.nextChance(uncommittedPercent)) {
+      await harness.advanceClock(BEFORE_COMMIT_MS);
+      harness.kill();
+    }
   } else if (action < 55) {
     void harness.call({type: 'abandon', job: id});
   } else if (action < 70) {
@@ -102,4 +160,15 @@
       expect(await runWithFaults(seed), `seed ${seed}`).to.deep.equal([]);
     }
   });
+
+  // Guards against tasks that run beside a run that an earlier owner started,
+  // and against tasks that start before the steps that they depend on.
+  it('keeps the order of steps, also of jobs whose admission is lost', async () => {
+    const first = Number(process.env['OWNER_SEED'] ?? 1);
+    const count = Number(process.env['OWNER_SEEDS'] ?? 60);
+    for (let seed = first; seed < first + count; seed++) {
+      const found = await runWithFaults(seed, DEPENDENT);
+      expect(found, `seed ${seed}`).to.deep.equal([]);
+    }
+  });
 });
--- a/packages/dispatch/tests/owner/uncommitted_admissions.test.ts
+++ b/packages/dispatch/tests/owner/uncommitted_admissions.test.ts
@@ -33,6 +33,10 @@
 
   afterEach(() => harness.close());
 
+  function countRuns(task: string): number {
+    return harness.spans.filter(span => span.task === task).length;
+  }
+
   /** Ends the owner before it has committed the admission of `job`. */
   async function loseAdmission(declaredMs?: number): Promise<void> {
     void harness.submitDurable('job', createSteps(declaredMs));
@@ -88,6 +92,27 @@
     expect(await harness.getJobState('job')).to.equal('completed');
     expect(findOverlappingRuns(harness.spans)).to.deep.equal([]);
   });
+
+  // Guards against a second run of a task whose earlier step has to run again
+  // under the next owner.
+  it('adopts the run of a task that waits for an earlier step', async () => {
+    const steps = [step(1), step(1, {after: [0], declaredMs: LONG_RUN_MS})];
+    void harness.submit('job', steps);
+    await harness.advanceClock(10);
+    harness.upstream(0).runMs = LONG_RUN_MS;
+    await harness.advanceClock(90);
+    expect(countRuns('job/0/0')).to.equal(1);
+    expect(countRuns('job/1/0')).to.equal(1);
+    harness.kill();
+    await harness.startOwner();
+    harness.upstream(0).unhealthy = true;
+    harness.upstream(1).runMs = SHORT_RUN_MS;
+    await harness.advanceClock(50);
+    const reply = await harness.waitFor(harness.submit('job', steps));
+    expect(reply).to.deep.equal({type: 'ended', state: 'completed'});
+    expect(findOverlappingRuns(harness.spans)).to.deep.equal([]);
+    expect(countRuns('job/1/0')).to.equal(1);
+  });
 });
 
 describe('Owner with a job that is submitted again', () => {
