Ask who is there before an announcement displaces an upstream

Cause: an announcement closed the sessions at its address, and the earlier incarnation of its id, on the word of its sender. The unknown service that the claim of the case names is not the cause: a configured one does the same. Change: DisplacementCheck asks the upstreams that would be displaced, before the commit, with a hold that has no effect. If one answers for itself the announcement is ignored. HoldOrders takes the sending of holds out of the session.

--- a/packages/dispatch/src/owner/dispatcher.ts
+++ b/packages/dispatch/src/owner/dispatcher.ts
@@ -1,5 +1,4 @@
 /** Handles the events of all upstream sessions of an owner. */
-import {OutlierEjection} from '@mustardferry/decisions';
 import type {Logger, Metrics} from '@mustardferry/runtime';
 
 import type {JobRecord} from '../jobs/commands.js';
@@ -27,6 +26,7 @@
 import type {Contact, SessionEvents} from './session_types.js';
 import {Stragglers} from './stragglers.js';
 import {TaskOutcomes} from './task_outcomes.js';
+import {createUpstreamHealth} from './upstream_health.js';
 import type {UpstreamSession} from './upstream_session.js';
 import type {UpstreamSpeed} from './upstream_speed.js';
 
@@ -52,15 +52,6 @@
   readonly onFenced: (session: UpstreamSession) => void;
 }
 
-/** Consecutive failures that eject; low, as jobs fail after few attempts. */
-const EJECTION_FAILURE_COUNT = 2;
-
-/** First probe of an ejected upstream in ms; most faults last seconds. */
-const FIRST_PROBE_MS = 1_000;
-
-/** Largest fraction of a pool that may be ejected at a time. */
-const MAX_EJECTED_FRACTION = 0.4;
-
 /** Passes the events of sessions to the classes that handle them. */
 export class Dispatcher implements SessionEvents {
   readonly returnForecast: ReturnForecast;
@@ -72,11 +63,7 @@
   /** Called for a job whose caller waits and that fits nowhere else. */
   onEvacuatedJob: (job: string) => void = () => undefined;
   readonly evacuations: EvacuationEffects;
-  private readonly health = new OutlierEjection({
-    consecutiveFailures: EJECTION_FAILURE_COUNT,
-    firstProbeMs: FIRST_PROBE_MS,
-    maxEjectedFraction: MAX_EJECTED_FRACTION,
-  });
+  private readonly health = createUpstreamHealth();
   private readonly discardedRuns = new DiscardedRuns();
   private readonly orphanedRuns: OrphanedRuns;
   private readonly admission: JobAdmission;
@@ -90,11 +77,9 @@
     const {health, discardedRuns} = this;
     const isRecoveryComplete = () => this.isRecoveryComplete;
     const recovery = {...options, discardedRuns, isRecoveryComplete};
-    this.orphanedRuns = new OrphanedRuns(recovery);
-    this.admission = new JobAdmission({
-      ...recovery,
-      orphanedRuns: this.orphanedRuns,
-    });
+    const orphanedRuns = new OrphanedRuns(recovery);
+    this.orphanedRuns = orphanedRuns;
+    this.admission = new JobAdmission({...recovery, orphanedRuns});
     const placement = new PlacementPolicy(health, options.remoteFactor);
     const shared = {...options, placement, health, discardedRuns};
     this.starter = new RunStarter({
@@ -112,7 +97,7 @@
       ...shared,
       onTransientJobEnd: (job, state) => this.onTransientJobEnd(job, state),
     });
-    const {outcomes, orphanedRuns} = this;
+    const {outcomes} = this;
     this.lost = new LostRuns({
       ...options,
       outcomes,
--- a/packages/dispatch/src/owner/hold_history.ts
+++ b/packages/dispatch/src/owner/hold_history.ts
@@ -3,6 +3,7 @@
 /** Times are in milliseconds of this process's clock. */
 export class HoldHistory {
   private answered = Number.NEGATIVE_INFINITY;
+  private identified = Number.NEGATIVE_INFINITY;
   private complete = Number.NEGATIVE_INFINITY;
 
   /** When the newest answered hold was sent. */
@@ -10,6 +11,11 @@
     return this.answered;
   }
 
+  /** When the newest hold was sent whose answer named the incarnation. */
+  get identifiedSentAt(): number {
+    return this.identified;
+  }
+
   /**
    * When the newest hold was sent whose answer listed all run ends. The end of
    * a run may still be unlisted before.
@@ -22,8 +28,9 @@
     return this.complete > Number.NEGATIVE_INFINITY;
   }
 
-  recordAnswer(sentAt: number): void {
+  recordAnswer(sentAt: number, isIdentified: boolean): void {
     this.answered = Math.max(this.answered, sentAt);
+    if (isIdentified) this.identified = Math.max(this.identified, sentAt);
   }
 
   /**
--- a/packages/dispatch/src/owner/session_registry.ts
+++ b/packages/dispatch/src/owner/session_registry.ts
@@ -12,6 +12,7 @@
   type UpstreamRecord,
 } from '../upstreams/upstream_types.js';
 import type {Dispatcher} from './dispatcher.js';
+import {DisplacementCheck} from './displacement_check.js';
 import type {Propose} from './proposer.js';
 import {UpstreamSession} from './upstream_session.js';
 
@@ -37,9 +38,13 @@
 /** Time without contact after which an upstream without runs is removed. */
 const INACTIVE_TIMEOUT_MS = 15_000;
 
+/** Sequence number of an incarnation that has not announced itself yet. */
+const NO_ANNOUNCEMENT = -1;
+
 /** Keeps one session for each registered upstream. */
 export class SessionRegistry {
   private readonly sessions = new Map<string, UpstreamSession>();
+  private readonly displacement = new DisplacementCheck();
   /** Clocks of the upstreams in their newest announcements. */
   private readonly clockReadings = new WeakMap<UpstreamSession, ClockReading>();
 
@@ -56,7 +61,7 @@
       acknowledged,
     } of this.options.state.upstreams.values()) {
       const session = this.open(record, acknowledged, undefined);
-      session.sequence = record.sequence ?? -1;
+      session.sequence = record.sequence ?? NO_ANNOUNCEMENT;
     }
   }
 
@@ -64,14 +69,19 @@
   async announce(announcement: Announcement): Promise<void> {
     const {state, propose, logger} = this.options;
     const record = toUpstreamRecord(announcement);
-    const known = state.upstreams.get(record.id)?.record;
+    const present = await this.displacement.findPresent(
+      announcement,
+      this.openSessions,
+    );
     const returned = state.hasReturned(announcement);
-    const reason = returned ? null : this.findReasonToIgnore(record);
+    const reason = returned ? null : this.findReasonToIgnore(record, present);
+    const known = state.upstreams.get(record.id)?.record;
     if (reason !== null) {
       logger.info('announcement-ignored', {
         upstream: record.id,
         startedAt: record.startedAt,
         known: known?.startedAt,
+        present: present?.key,
         reason,
       });
       return;
@@ -94,12 +104,28 @@
     this.applyAnnouncement(announcement);
   }
 
-  /** A delayed announcement must not bring back what was replaced or left. */
-  private findReasonToIgnore(record: UpstreamRecord): string | null {
+  /**
+   * A delayed announcement must not bring back what was replaced or left, and
+   * one of another sender must not displace an upstream that is there.
+   */
+  private findReasonToIgnore(
+    record: UpstreamRecord,
+    present: UpstreamSession | undefined,
+  ): string | null {
     const {state} = this.options;
     const known = state.upstreams.get(record.id)?.record;
     if (known && known.startedAt > record.startedAt) return 'older incarnation';
-    return state.hasLeft(record) ? 'has left' : null;
+    if (state.hasLeft(record)) return 'has left';
+    if (this.contradictsPool(record)) return 'in another pool';
+    return present ? 'another upstream is there' : null;
+  }
+
+  /** An incarnation stays in the pool that it has announced. */
+  private contradictsPool(record: UpstreamRecord): boolean {
+    const session = this.sessions.get(record.id);
+    if (!session || session.key !== upstreamKey(record)) return false;
+    const wasAnnounced = session.sequence > NO_ANNOUNCEMENT;
+    return wasAnnounced && session.record.pool !== record.pool;
   }
 
   /** Deregisters an upstream at its own request. */
@@ -144,7 +170,10 @@
       this.forgetInBackground(record);
       return;
     }
-    const next = {...record, startedAt};
+    const announced = this.displacement.getPending(record.id, startedAt);
+    const next = announced
+      ? toUpstreamRecord(announced)
+      : {...record, startedAt};
     this.closeSession(session, cause, this.open(next, 0, undefined));
     this.options.propose({type: 'upstream', upstream: next}).catch(() => {
       // Logged by the proposer; the next announcement proposes it again.
@@ -174,7 +203,6 @@
       return;
     }
     if (session && session.record.startedAt > record.startedAt) return;
-    this.closeOlderSessionsAtAddress(record);
     const opened = this.open(record, 0, announcement.clockMs);
     opened.sequence = announcement.sequence;
     this.observeClock(opened, announcement);
@@ -182,21 +210,6 @@
       this.closeSession(session, 'a new incarnation announced itself', opened);
   }
 
-  /** Closes sessions of other upstreams that used the address before. */
-  private closeOlderSessionsAtAddress({
-    id,
-    address,
-    startedAt,
-  }: UpstreamRecord): void {
-    for (const other of this.openSessions) {
-      const {record} = other;
-      const isOlder = record.id !== id && record.startedAt <= startedAt;
-      if (record.address !== address || !isOlder) continue;
-      this.closeSession(other, 'its address is used by a newer incarnation');
-      this.forgetInBackground(record);
-    }
-  }
-
   private open(
     record: UpstreamRecord,
     acknowledged: number,
--- a/packages/dispatch/src/owner/upstream_session.ts
+++ b/packages/dispatch/src/owner/upstream_session.ts
@@ -9,16 +9,13 @@
 import {EndCommits} from './end_commits.js';
 import {EndsCursor} from './ends_cursor.js';
 import {HoldHistory} from './hold_history.js';
+import {HoldOrders} from './hold_orders.js';
 import type {Run} from './job_table_types.js';
 import {LeaseClock} from './lease_clock.js';
 import {PendingStarts} from './pending_starts.js';
 import {RunOrders} from './run_orders.js';
 import {RunTable} from './run_table.js';
-import {
-  getHoldTimeoutMs,
-  MAX_FAILED_HOLDS,
-  SESSION_TIMING,
-} from './session_timing.js';
+import {MAX_FAILED_HOLDS, SESSION_TIMING} from './session_timing.js';
 import type {Contact, SessionOptions} from './session_types.js';
 import {sleep, Wakeup} from './waiting.js';
 
@@ -36,6 +33,7 @@
   /** When tasks may be offered again after a refusal for lack of room. */
   noRoomUntil = 0;
   private readonly orders: RunOrders;
+  private readonly holdOrders: HoldOrders;
   private readonly wakeup = new Wakeup();
   private state: Contact = 'fencing';
   private readonly leaseClock: LeaseClock;
@@ -57,14 +55,23 @@
     this.endsCursor = new EndsCursor(acknowledged);
     this.leaseClock = new LeaseClock(options.leaseMs);
     if (clockMs !== undefined) this.leaseClock.observeReading(clockMs);
+    const {leaseClock, endsCursor, starts, holds} = this;
+    const shared = {session: this, options, leaseClock, holds};
+    this.holdOrders = new HoldOrders({
+      ...shared,
+      endsCursor,
+      starts,
+      isClosed: () => this.closed,
+      mayExtendLeases: () => this.mayExtendLeases,
+      getFailedCount: () => this.failedHolds,
+      onAnswer: (answer, sentAt) => this.answered(answer, sentAt),
+      onFailure: err => this.handleHoldFailure(err),
+    });
     this.orders = new RunOrders({
-      session: this,
-      options,
+      ...shared,
       runs: this.runs,
-      leaseClock: this.leaseClock,
       hasEnded: () => this.closed || this.state === 'lost',
       holdNow: () => this.holdNow(),
-      holds: this.holds,
       wakeHoldLoop: () => this.wakeup.wake(),
     });
     void this.runHoldLoop();
@@ -141,6 +148,14 @@
     return this.orders.forbidRun(active);
   }
 
+  /** Asks the upstream; see `HoldOrders.isPresent`. */
+  async isPresent(namesStart: boolean): Promise<boolean> {
+    const isPresent = await this.holdOrders.isPresent(namesStart);
+    // Without an answer, the session has to find out soon who is there.
+    if (!isPresent) this.wakeup.wake();
+    return isPresent;
+  }
+
   /** Closes the session; the caller handles its remaining runs. */
   close(): void {
     if (this.closed) return;
@@ -167,7 +182,8 @@
       return sleep(SESSION_TIMING.retryPauseMs);
     }
     const isLive = this.state === 'live' && this.failedHolds === 0;
-    if (!(await this.hold(isLive ? SESSION_TIMING.holdWaitMs : 0))) {
+    const waitMs = isLive ? SESSION_TIMING.holdWaitMs : 0;
+    if (!(await this.holdOrders.send(waitMs))) {
       await this.pauseAfterFailure();
     }
   }
@@ -183,39 +199,14 @@
   }
 
   private async holdNow(): Promise<void> {
-    if (!this.closed && this.options.maySendOrders()) await this.hold(0);
-  }
-
-  /** Sends one hold; returns whether the upstream listed its runs. */
-  private async hold(waitMs: number): Promise<boolean> {
-    const sentAt = performance.now();
-    const mayBeNew = this.starts.mayHaveStartedAfter(this.holds.answeredSentAt);
-    const acknowledged = mayBeNew ? 0 : this.endsCursor.positionToAcknowledge;
-    let answer: HoldAnswer;
-    try {
-      answer = await this.options.port.hold(this.record, {
-        token: this.options.token,
-        timeoutMs: waitMs + getHoldTimeoutMs(this.failedHolds),
-        acknowledged,
-        waitMs,
-        ...this.createLeaseExtension(sentAt),
-      });
-    } catch (err) {
-      if (!this.closed) this.handleHoldFailure(err);
-      return false;
-    }
-    if (!this.closed) this.answered(answer, sentAt);
-    const isHeld = answer.type === 'held';
-    if (isHeld && !this.closed) this.endsCursor.markAcknowledged(acknowledged);
-    return isHeld;
+    if (!this.closed && this.options.maySendOrders())
+      await this.holdOrders.send(0);
   }
 
-  /** Extends the leases unless they are to expire. */
-  private createLeaseExtension(now: number): {readonly leaseUntil?: number} {
+  /** Whether the leases are not meant to expire. */
+  private get mayExtendLeases(): boolean {
     const isSilent = this.failedHolds >= MAX_FAILED_HOLDS;
-    if (this.deregistered || (isSilent && this.state !== 'fencing')) return {};
-    const leaseUntil = this.leaseClock.grantLease(now);
-    return leaseUntil === undefined ? {} : {leaseUntil};
+    return !this.deregistered && (!isSilent || this.state === 'fencing');
   }
 
   private handleHoldFailure(err: unknown): void {
@@ -255,7 +246,7 @@
       return events.otherProcess(this, startedAt);
     }
     this.lastContactAt = performance.now();
-    this.holds.recordAnswer(sentAt);
+    this.holds.recordAnswer(sentAt, startedAt !== undefined);
     this.failedHolds = 0;
     this.leaseClock.observeReading(clockMs);
     if (this.state !== 'live') this.setContactState('live', 'answered');
--- a/packages/dispatch/tests/fake_upstreams.ts
+++ b/packages/dispatch/tests/fake_upstreams.ts
@@ -67,7 +67,8 @@
   private readonly waiters = new Set<() => void>();
 
   constructor(
-    readonly id: string,
+    /** The next incarnation at the address may have another one. */
+    public id: string,
     readonly address: string,
     private readonly spans: RunSpan[],
     startedAt = 1,
@@ -268,6 +269,7 @@
       throw new OrderNotSentError(kind);
     if (delivery === 'delivered') {
       await delay(1);
+      if (upstream.id !== to.id) return {type: 'other-life'} as T;
       return run(upstream);
     }
     if (delivery === 'answer-lost') void run(upstream);
