Keep a deregistered upstream until the runs of earlier owners end

Evidence: 'waits for the runs of an earlier owner on one that is deregistered' fails before the change (job/0/0 on u0 and u1 at a time). Change: orphaned runs count. They end with their lease, which isn't extended. Result: the test passes.

--- a/packages/dispatch/src/owner/dispatcher.ts
+++ b/packages/dispatch/src/owner/dispatcher.ts
@@ -210,6 +210,11 @@
     return this.earlyEndJobs.has(job) || this.orphanedRuns.hasRunsOf(job);
   }
 
+  /** Whether a run is in progress on an upstream, of this owner or another. */
+  hasRuns(session: UpstreamSession): boolean {
+    return session.runs.size > 0 || this.orphanedRuns.hasRunsOn(session);
+  }
+
   /** Number of orphaned runs. */
   get orphanCount(): number {
     return this.orphanedRuns.orphanCount;
--- a/packages/dispatch/src/owner/orphaned_runs.ts
+++ b/packages/dispatch/src/owner/orphaned_runs.ts
@@ -52,6 +52,13 @@
     );
   }
 
+  /** Whether an upstream lists a run that its session does not track. */
+  hasRunsOn(session: UpstreamSession): boolean {
+    return [...this.orphans.values()]
+      .flat()
+      .some(orphan => orphan.session === session);
+  }
+
   /** Adopts, keeps or stops a run that its session does not track. */
   handleListedRun(session: UpstreamSession, active: ActiveRun): void {
     const {jobTable, state, isRecoveryComplete} = this.options;
--- a/packages/dispatch/src/owner/session_registry.ts
+++ b/packages/dispatch/src/owner/session_registry.ts
@@ -187,8 +187,8 @@
   removeInactiveUpstreams(now: number): void {
     for (const session of this.openSessions) {
       const isSilent = now - session.lastContactAt > INACTIVE_TIMEOUT_MS;
-      const hasLeft = session.deregistered && session.runs.size === 0;
-      if ((!isSilent && !hasLeft) || session.runs.size > 0) continue;
+      if (!isSilent && !session.deregistered) continue;
+      if (this.options.dispatcher.hasRuns(session)) continue;
       this.closeSession(session, isSilent ? 'silent' : 'left');
       this.forgetInBackground(session.record);
     }
--- a/packages/dispatch/tests/owner/departed_upstreams.test.ts
+++ b/packages/dispatch/tests/owner/departed_upstreams.test.ts
@@ -1,6 +1,7 @@
 import {expect} from 'chai';
 
 import {DispatchState} from '../../src/jobs/dispatch_state.js';
+import {findOverlappingRuns, type RunSpan} from '../fake_upstreams.js';
 import {OwnerHarness, step} from '../owner_harness.js';
 
 /**
@@ -102,6 +103,24 @@
     expect(await isUsed()).to.equal(false);
   });
 
+  // Guards against a second run of a task beside one that an earlier owner has
+  // started, and that goes on under its lease.
+  it('waits for the runs of an earlier owner on one that is deregistered', async () => {
+    const steps = [step(1, {declaredMs: 2_000})];
+    for (const each of harness.upstreams) each.runMs = 2_000;
+    void harness.submit('job', steps);
+    await harness.advanceClock(5);
+    const [{upstream: id}] = harness.spans as [RunSpan];
+    harness.kill();
+    await harness.startOwner();
+    await harness.advanceClock(900);
+    await harness.waitFor(harness.call({type: 'leave', id}));
+    // The next sweep of upstreams that have left, 1 s after the owner's start.
+    await harness.advanceClock(150);
+    await harness.waitFor(harness.submit('job', steps));
+    expect(findOverlappingRuns(harness.spans)).to.deep.equal([]);
+  });
+
   it('uses the next incarnation of one that has left', async () => {
     await harness.waitFor(harness.call({type: 'leave', id: 'u0'}));
     await harness.advanceClock(2_000);
