Begin the announcements of a restarted upstream anew

Seen: a worker that leaves soon after its restart gets starts after its report was acknowledged, if the leader has changed in between (DRAIN). Cause: when a hold finds a restart before the first report comes, the record kept the sequence number of the earlier incarnation. Reports that change nothing are not committed, so the next leader ignored all with lower numbers. Evidence: 'does not use one that leaves soon after a restart and a change of the owner' fails before the change. Change: the record begins without a sequence number. Result: the test passes.

--- a/packages/dispatch/src/owner/session_registry.ts
+++ b/packages/dispatch/src/owner/session_registry.ts
@@ -173,7 +173,7 @@
     const announced = this.displacement.getPending(record.id, startedAt);
     const next = announced
       ? toUpstreamRecord(announced)
-      : {...record, startedAt};
+      : {...record, startedAt, sequence: NO_ANNOUNCEMENT};
     this.closeSession(session, cause, this.open(next, 0, undefined));
     this.options.propose({type: 'upstream', upstream: next}).catch(() => {
       // Logged by the proposer; the next announcement proposes it again.
--- a/packages/dispatch/tests/owner/departed_upstreams.test.ts
+++ b/packages/dispatch/tests/owner/departed_upstreams.test.ts
@@ -103,6 +103,27 @@
     expect(await isUsed()).to.equal(false);
   });
 
+  // Guards against a start that follows the announcement that an upstream
+  // leaves: its numbers begin anew after a restart.
+  it('does not use one that leaves soon after a restart and a change of the owner', async () => {
+    const upstream = harness.upstream(0);
+    for (let i = 0; i < 5; i++) await harness.announce(upstream);
+    upstream.labels = ['changed'];
+    await harness.announce(upstream);
+    void harness.submit('finds the restart', [step(2)]);
+    await harness.advanceClock(20);
+    upstream.restart();
+    await harness.advanceClock(300);
+    await changeOwner();
+    await harness.waitFor(
+      harness.call({
+        type: 'announce',
+        upstream: upstream.announcement(2, true),
+      }),
+    );
+    expect(await isUsed()).to.equal(false);
+  });
+
   // Guards against a second run of a task beside one that an earlier owner has
   // started, and that goes on under its lease.
   it('waits for the runs of an earlier owner on one that is deregistered', async () => {
