Move an upstream to the pool that its new incarnation announces

Seen: a worker that comes back as part of another service gets tasks of the earlier one for as long as it lives (ROUTE). Cause: when a hold finds the restart before the first report comes, the report changed the record of the session, but not the pool that offers it tasks. Evidence: 'uses a restarted upstream for the pool that it announces' fails before the change. Change: a session whose record changes is taken out of its pool and added again. Result: the test passes.

--- a/packages/dispatch/src/owner/dispatcher.ts
+++ b/packages/dispatch/src/owner/dispatcher.ts
@@ -10,6 +10,7 @@
   RunEnd,
   StartRefusal,
 } from '../upstreams/upstream_port.js';
+import type {UpstreamRecord} from '../upstreams/upstream_types.js';
 import {DiscardedRuns} from './discarded_runs.js';
 import {EvacuationEffects} from './evacuation_effects.js';
 import {JobAdmission} from './job_admission.js';
@@ -144,6 +145,14 @@
     this.evacuations.sessionAdded(session);
   }
 
+  /** Applies a changed announcement, which may name another pool. */
+  updateSession(session: UpstreamSession, record: UpstreamRecord): void {
+    this.starter.remove(session);
+    session.updateRecord(record);
+    this.starter.add(session);
+    this.schedule();
+  }
+
   /**
    * Removes the session of an ended incarnation, and its runs. With a successor
    * the runs are verified there, as it may have received their start orders.
--- a/packages/dispatch/src/owner/session_registry.ts
+++ b/packages/dispatch/src/owner/session_registry.ts
@@ -198,8 +198,7 @@
     const record = toUpstreamRecord(announcement);
     const session = this.sessions.get(record.id);
     if (session && session.key === upstreamKey(record)) {
-      session.updateRecord(record);
-      this.options.dispatcher.schedule();
+      this.options.dispatcher.updateSession(session, record);
       return;
     }
     if (session && session.record.startedAt > record.startedAt) return;
--- a/packages/dispatch/tests/owner/owner_restarts.test.ts
+++ b/packages/dispatch/tests/owner/owner_restarts.test.ts
@@ -36,6 +36,24 @@
     );
   });
 
+  // Guards against a start on an upstream that has joined another pool, after a
+  // hold has found its restart before its announcement came.
+  it('uses a restarted upstream for the pool that it announces', async () => {
+    await setUp(1);
+    const upstream = harness.upstream(0);
+    void harness.submit('finds the restart');
+    await harness.advanceClock(20);
+    upstream.restart();
+    await harness.advanceClock(300);
+    const before = harness.spans.length;
+    const announcement = {...upstream.announcement(1), pool: 'other'};
+    await harness.waitFor(
+      harness.call({type: 'announce', upstream: announcement}),
+    );
+    await harness.waitFor(harness.submit('next'));
+    expect(harness.spans).to.have.length(before);
+  });
+
   it('does not refuse the resubmission of an open job under overload', async () => {
     await setUp(0);
     const first = harness.submit('a');
