Join small modules of the owner

Change: the history of holds stands with the holds, the settings of the ejection with its probes. No behaviour changes.

--- a/packages/dispatch/src/owner/dispatcher.ts
+++ b/packages/dispatch/src/owner/dispatcher.ts
@@ -27,7 +27,7 @@
 import type {Contact, SessionEvents} from './session_types.js';
 import {Stragglers} from './stragglers.js';
 import {TaskOutcomes} from './task_outcomes.js';
-import {createUpstreamHealth} from './upstream_health.js';
+import {createUpstreamEjection} from './upstream_ejection.js';
 import type {UpstreamSession} from './upstream_session.js';
 import type {UpstreamSpeed} from './upstream_speed.js';
 
@@ -64,7 +64,7 @@
   /** Called for a job whose caller waits and that fits nowhere else. */
   onEvacuatedJob: (job: string) => void = () => undefined;
   readonly evacuations: EvacuationEffects;
-  private readonly health = createUpstreamHealth();
+  private readonly health = createUpstreamEjection();
   private readonly discardedRuns = new DiscardedRuns();
   private readonly orphanedRuns: OrphanedRuns;
   private readonly admission: JobAdmission;
--- a/packages/dispatch/src/owner/hold_orders.ts
+++ b/packages/dispatch/src/owner/hold_orders.ts
@@ -1,7 +1,6 @@
-/** Holds that the owner sends to one upstream. */
+/** Holds that the owner sends to one upstream, and which were answered. */
 import type {HoldAnswer, HoldOrder} from '../upstreams/upstream_port.js';
 import type {EndsCursor} from './ends_cursor.js';
-import type {HoldHistory} from './hold_history.js';
 import type {LeaseClock} from './lease_clock.js';
 import type {PendingStarts} from './pending_starts.js';
 import {getHoldTimeoutMs} from './session_timing.js';
@@ -96,3 +95,49 @@
     return leaseUntil === undefined ? {} : {leaseUntil};
   }
 }
+
+/**
+ * When the answered holds of a session were sent, in milliseconds of this
+ * process's clock.
+ */
+export class HoldHistory {
+  private answered = Number.NEGATIVE_INFINITY;
+  private identified = Number.NEGATIVE_INFINITY;
+  private complete = Number.NEGATIVE_INFINITY;
+
+  /** When the newest answered hold was sent. */
+  get answeredSentAt(): number {
+    return this.answered;
+  }
+
+  /** When the newest hold was sent whose answer named the incarnation. */
+  get identifiedSentAt(): number {
+    return this.identified;
+  }
+
+  /**
+   * When the newest hold was sent whose answer listed all run ends. The end of
+   * a run may still be unlisted before.
+   */
+  get completeSentAt(): number {
+    return this.complete;
+  }
+
+  get hasCompleteList(): boolean {
+    return this.complete > Number.NEGATIVE_INFINITY;
+  }
+
+  recordAnswer(sentAt: number, isIdentified: boolean): void {
+    this.answered = Math.max(this.answered, sentAt);
+    if (isIdentified) this.identified = Math.max(this.identified, sentAt);
+  }
+
+  /**
+   * Records an answer that lists all run ends; returns whether it is the first.
+   */
+  recordCompleteList(sentAt: number): boolean {
+    const isFirst = !this.hasCompleteList;
+    this.complete = Math.max(this.complete, sentAt);
+    return isFirst;
+  }
+}
--- a/packages/dispatch/src/owner/run_orders.ts
+++ b/packages/dispatch/src/owner/run_orders.ts
@@ -5,7 +5,7 @@
   type StartAnswer,
   type StartRefusal,
 } from '../upstreams/upstream_port.js';
-import type {HoldHistory} from './hold_history.js';
+import type {HoldHistory} from './hold_orders.js';
 import type {Run} from './job_table_types.js';
 import type {LeaseClock} from './lease_clock.js';
 import type {RunTable} from './run_table.js';
--- a/packages/dispatch/src/owner/run_starter.ts
+++ b/packages/dispatch/src/owner/run_starter.ts
@@ -7,7 +7,6 @@
 import type {OwnerActivity} from './owner_activity.js';
 import type {Placement, PlacementPolicy, PlacementSearch} from './placement.js';
 import {PoolIndex, REFRESH_INTERVAL_MS} from './pool_index.js';
-import {ProbeRuns} from './probe_runs.js';
 import {
   computeWork,
   DISPATCH_OVERHEAD_MS,
@@ -16,6 +15,7 @@
 } from './ready_queue.js';
 import {RunProgress} from './run_progress.js';
 import {type EstimatedJob, ServiceEstimate} from './service_estimate.js';
+import {ProbeRuns} from './upstream_ejection.js';
 import type {UpstreamSession} from './upstream_session.js';
 import type {UpstreamSpeed} from './upstream_speed.js';
 
--- a/packages/dispatch/src/owner/upstream_session.ts
+++ b/packages/dispatch/src/owner/upstream_session.ts
@@ -8,8 +8,7 @@
 import {upstreamKey, type UpstreamRecord} from '../upstreams/upstream_types.js';
 import {EndCommits} from './end_commits.js';
 import {EndsCursor} from './ends_cursor.js';
-import {HoldHistory} from './hold_history.js';
-import {HoldOrders} from './hold_orders.js';
+import {HoldHistory, HoldOrders} from './hold_orders.js';
 import type {Run} from './job_table_types.js';
 import {LeaseClock} from './lease_clock.js';
 import {PendingStarts} from './pending_starts.js';
