--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,3 +1,4 @@
+export {MessageArrival} from './instance/arrival_clock.js';
 export type {CallObstacle, CallOutcome} from './instance/call_outcome.js';
 export {
   type EvacuationOutcome,
--- a/packages/dispatch/src/instance/arrival_clock.ts
+++ b/packages/dispatch/src/instance/arrival_clock.ts
@@ -9,12 +9,12 @@
 }
 
 /**
- * Time of arrival of one message. While a machine is suspended, the monotonic
+ * Time of arrival of one message; now by default. While a machine is suspended, the monotonic
  * clock stops and the wall clock goes on; a step back of the wall clock must
  * not make the message younger. So the larger of the two elapsed times counts.
  */
 export class MessageArrival {
-  constructor(private readonly earliest: Reading) {}
+  constructor(private readonly earliest: Reading = readClocks()) {}
 
   /** Largest possible time in ms since the arrival. */
   get ageMs(): number {
