Let relayed orders expire on the clock of their carrier

Cause: a frozen member reads the leader's orders once it goes on, and sends them, however old. A worker that has restarted meanwhile knows neither the stop nor the token, and the old expiry of the lease lies in the future of its new clock. Change: the leader sets the expiry of an order on the carrier's clock, at the time when it gives the order up. Members send readings of their clocks; an estimate is never ahead of the clock.

--- a/packages/dispatch/src/instance/group_view.ts
+++ b/packages/dispatch/src/instance/group_view.ts
@@ -1,4 +1,4 @@
-/** Builds the view of the group that a member sends to its peers. */
+/** The view of the group that a member sends to its peers, and when. */
 import type {LogStatus} from '@mustardferry/coordination';
 
 import type {GroupView} from '../messages/calls.js';
@@ -18,6 +18,12 @@
   readonly leads: boolean;
 }
 
+/**
+ * Interval in ms at which an unchanged view is sent, for the reading of the
+ * sender's clock with it: two clocks drift apart by some milliseconds meanwhile.
+ */
+const REFRESH_INTERVAL_MS = 60_000;
+
 /** Uses the status of the log on a voter, and else the received view. */
 export function createGroupView(options: GroupViewOptions): GroupView {
   const {address, status, receivedView, knownAddresses, leads} = options;
@@ -39,3 +45,20 @@
   const name = leader?.name ?? null;
   return {...group, term, leader: isReady ? name : null};
 }
+
+/** Remembers the view that was sent last. */
+export class ViewSchedule {
+  private lastText = '';
+  private lastSentAt = Number.NEGATIVE_INFINITY;
+
+  /** Whether a view has to be sent; if so, it counts as sent. */
+  isDue(view: GroupView): boolean {
+    const text = JSON.stringify(view);
+    const now = performance.now();
+    const isFresh = now - this.lastSentAt < REFRESH_INTERVAL_MS;
+    if (text === this.lastText && isFresh) return false;
+    this.lastText = text;
+    this.lastSentAt = now;
+    return true;
+  }
+}
--- a/packages/dispatch/src/instance/leader_client.ts
+++ b/packages/dispatch/src/instance/leader_client.ts
@@ -3,7 +3,6 @@
 import type {Logger} from '@mustardferry/runtime';
 
 import type {Call, CallOrigin, GroupView, Reply} from '../messages/calls.js';
-import type {OrderOutcomeMessage} from '../messages/order_messages.js';
 import type {Hello, PeerMessage} from '../messages/peer_messages.js';
 import {
   type CallObstacle,
@@ -12,6 +11,7 @@
 } from './call_outcome.js';
 import {ChangeSignal} from './change_signal.js';
 import {LeaderlessPeriod} from './leaderless_period.js';
+import type {CarrierEvents} from './order_relay.js';
 
 /** Options of a client. */
 export interface LeaderClientOptions {
@@ -24,12 +24,8 @@
     call: Call,
     origin: CallOrigin,
   ) => Promise<Reply> | null;
-  /** Receives the outcomes of orders that carriers relayed. */
-  readonly onOrderOutcome?: (
-    carrier: string,
-    message: OrderOutcomeMessage,
-  ) => void;
-  readonly onDisconnected?: (address: string) => void;
+  /** Receives what the members report as carriers of orders. */
+  readonly carriers?: CarrierEvents;
 }
 
 interface Peer {
@@ -226,7 +222,7 @@
       pendingCalls: peer.pending.size,
     });
     for (const settle of [...peer.pending.values()]) settle('lost');
-    this.options.onDisconnected?.(address);
+    this.options.carriers?.lost(address);
     this.handleChange();
   }
 
@@ -234,9 +230,11 @@
     if (message.type === 'reply') {
       this.peers.get(address)?.pending.get(message.id)?.(message.reply);
     } else if (message.type === 'view') {
-      this.mergeView(message.view);
+      const {view, clockMs} = message;
+      this.options.carriers?.clockRead(address, clockMs);
+      this.mergeView(view);
     } else if (message.type === 'order-outcome') {
-      this.options.onOrderOutcome?.(address, message);
+      this.options.carriers?.outcome(address, message);
     }
   }
 
--- a/packages/dispatch/src/instance/member.ts
+++ b/packages/dispatch/src/instance/member.ts
@@ -21,7 +21,7 @@
 import type {CallOutcome} from './call_outcome.js';
 import {FIRST_INCARNATION, firstVoters} from './first_voters.js';
 import {openGroupLog} from './group_log.js';
-import {createGroupView} from './group_view.js';
+import {createGroupView, ViewSchedule} from './group_view.js';
 import {LeaderClient} from './leader_client.js';
 import {LogWriteMonitor, openLogStorage} from './log_storage.js';
 import type {MemberOptions} from './member_options.js';
@@ -57,7 +57,7 @@
     this.owner?.abandon(job),
   );
   private firstVoters: readonly string[] = [];
-  private lastSentView = '';
+  private readonly viewSchedule = new ViewSchedule();
 
   private constructor(
     private readonly options: MemberOptions,
@@ -68,19 +68,27 @@
     this.pauseDetector = this.life.own(
       new PauseDetector(pausedMs => logger.warn('clock-jumped', {pausedMs})),
     );
-    this.carrier = this.life.own(new OrderCarrier(options));
+    const pauses = this.pauseDetector;
+    this.carrier = this.life.own(new OrderCarrier({...options, pauses}));
     this.warmUp = this.life.own(
       new VoterWarmUp({...options, getLoad: () => this.load}),
     );
+    this.orderRelay = this.life.own(
+      new OrderRelay({
+        directPort: options.port,
+        getCarriers: () => this.registry.connectedMembers,
+        upstreams: () => this.state.upstreams.size,
+        sendOnLogLink: (carrier, message) => this.client.send(carrier, message),
+        logger,
+      }),
+    );
     this.client = this.life.own(
       new LeaderClient({
         self: createMemberHello(options, self.incarnation),
         seeds,
         logger,
         handleLocally: (call, origin) => this.handleLocally(call, origin),
-        onOrderOutcome: (carrier, message) =>
-          this.orderRelay.outcome(carrier, message),
-        onDisconnected: carrier => this.orderRelay.lost(carrier),
+        carriers: this.orderRelay,
       }),
     );
     this.registry = new MemberRegistry({
@@ -88,15 +96,6 @@
       isConnected: other => this.client.isConnected(other),
       send: (to, message) => this.client.send(to, message),
     });
-    this.orderRelay = this.life.own(
-      new OrderRelay({
-        directPort: options.port,
-        getCarriers: () => this.registry.connectedMembers,
-        upstreams: () => this.state.upstreams.size,
-        sendOnLogLink: (carrier, message) => this.client.send(carrier, message),
-        logger,
-      }),
-    );
   }
 
   /** Opens the data folder and starts the member; the log opens later. */
@@ -154,8 +153,7 @@
       await FrameServer.open<PeerMessage>({
         host,
         port: Number(port),
-        onOpen: channel =>
-          channel.send({type: 'view', view: this.createView()}),
+        onOpen: channel => channel.send(this.createViewMessage()),
         onMessage: (channel, message) =>
           void this.handleMessage(channel, message).catch((err: unknown) =>
             logger.warn('member-message-failed', {err}),
@@ -275,6 +273,10 @@
     channel.send({type: 'reply', id, reply: reply ?? {type: 'not-leader'}});
   }
 
+  private createViewMessage(view = this.createView()): PeerMessage {
+    return {type: 'view', view, clockMs: this.carrier.clockMs};
+  }
+
   private createView(): GroupView {
     return createGroupView({
       address: this.options.address,
@@ -289,11 +291,9 @@
   private broadcastView(): void {
     const view = this.createView();
     this.warmUp.update(view.voters.includes(this.self.name));
-    const text = JSON.stringify(view);
-    if (text === this.lastSentView) return;
-    this.lastSentView = text;
+    if (!this.viewSchedule.isDue(view)) return;
     this.client.addOwnView(view);
     this.handover.observeLeader(view.leader);
-    this.server.broadcast({type: 'view', view});
+    this.server.broadcast(this.createViewMessage(view));
   }
 }
--- a/packages/dispatch/src/instance/order_relay.ts
+++ b/packages/dispatch/src/instance/order_relay.ts
@@ -27,8 +27,17 @@
   readonly logger: Logger;
 }
 
+/** What members report as carriers of orders. */
+export interface CarrierEvents {
+  outcome(carrier: string, message: OrderOutcomeMessage): void;
+  /** @param clockMs Reading of the carrier's clock, if it sends any. */
+  clockRead(carrier: string, clockMs: number | undefined): void;
+  /** The connection that the log and calls share is lost. */
+  lost(carrier: string): void;
+}
+
 /** One per member; keeps connections open only while the member leads. */
-export class OrderRelay {
+export class OrderRelay implements CarrierEvents {
   readonly name = 'order-relay';
   readonly port: RelayedPort;
   private readonly links: OrderLinks;
@@ -42,6 +51,11 @@
     });
     this.port = new RelayedPort({
       ...options,
+      // An order to a carrier without a known clock could not expire.
+      getCarriers: () =>
+        options
+          .getCarriers()
+          .filter(({address}) => this.port.clocks.has(address)),
       send: (carrier, message) =>
         // Must arrive even though the links for orders close with the term.
         message.type === 'orders-end'
@@ -65,15 +79,22 @@
     this.port.selector.memberHeard(address);
   }
 
+  /** Records a reading of a carrier's clock. */
+  clockRead(carrier: string, clockMs: number | undefined): void {
+    if (clockMs !== undefined) this.port.clocks.observe(carrier, clockMs);
+  }
+
   /** Handles the outcome of an order that a carrier relayed. */
-  outcome(carrier: string, {id, outcome}: OrderOutcomeMessage): void {
+  outcome(carrier: string, {id, outcome, clockMs}: OrderOutcomeMessage): void {
     this.memberHeard(carrier);
+    this.clockRead(carrier, clockMs);
     this.port.outcome(carrier, id, outcome);
   }
 
   /** Handles the loss of the connection to a carrier. */
   lost(carrier: string): void {
     this.memberHeard(carrier);
+    this.port.clocks.forget(carrier);
     this.links.lost(carrier);
     this.port.lost(carrier);
   }
--- a/packages/dispatch/src/instance/pause_detector.ts
+++ b/packages/dispatch/src/instance/pause_detector.ts
@@ -22,6 +22,7 @@
   readonly name = 'pause-detector';
   private offset = readClockOffset();
   private recentUntil = 0;
+  private totalMs = 0;
   private readonly timer = setInterval(
     () => this.checkClocks(),
     CHECK_INTERVAL_MS,
@@ -35,6 +36,15 @@
     return performance.now() < this.recentUntil;
   }
 
+  /**
+   * Sum of all pauses in ms, and of steps of the wall clock forward; checks the
+   * clocks first.
+   */
+  get suspendedMs(): number {
+    this.checkClocks();
+    return this.totalMs;
+  }
+
   close(): void {
     clearInterval(this.timer);
   }
@@ -44,6 +54,7 @@
     const jumpMs = offset - this.offset;
     if (Math.abs(jumpMs) < TOLERANCE_MS) return;
     this.offset = offset;
+    this.totalMs += Math.max(0, jumpMs);
     this.recentUntil = performance.now() + RECENT_MS;
     this.onPause(jumpMs);
   }
--- a/packages/dispatch/src/instance/relayed_port.ts
+++ b/packages/dispatch/src/instance/relayed_port.ts
@@ -22,6 +22,7 @@
 } from '../upstreams/upstream_port.js';
 import {upstreamKey} from '../upstreams/upstream_types.js';
 import {type Carrier, CarrierSelector} from './carrier_selector.js';
+import {CarrierClocks} from './order_expiry.js';
 import {RetryBudget} from './retry_budget.js';
 
 /** Options of the port. */
@@ -91,6 +92,7 @@
  */
 export class RelayedPort extends UpstreamPort {
   readonly selector: CarrierSelector;
+  readonly clocks = new CarrierClocks();
   private readonly budget: RetryBudget;
   private readonly pending = new Map<number, Attempt>();
   private readonly heardAt = new Map<string, number>();
@@ -195,7 +197,9 @@
     const attempt = {id, carrier, sentAt, overdueAt, exchange};
     exchange.open.add(attempt);
     this.pending.set(id, attempt);
-    const message: OrderMessage = {type: 'order', id, to: exchange.to, content};
+    const {to, endsAt} = exchange;
+    const expiry = this.clocks.createExpiry(carrier, endsAt - sentAt);
+    const message = {type: 'order', id, to, content, ...expiry} as const;
     if (!this.options.send(carrier, message)) {
       this.finish(attempt, {type: 'not-sent', cause: 'not connected'});
     }
--- a/packages/dispatch/src/messages/order_messages.ts
+++ b/packages/dispatch/src/messages/order_messages.ts
@@ -35,6 +35,11 @@
   readonly id: number;
   readonly to: UpstreamTarget;
   readonly content: OrderContent;
+  /**
+   * Reading of the carrier's clock from which it must not send the order any
+   * more; absent from leaders of earlier programs.
+   */
+  readonly expiresAtMs?: number;
 }
 
 /** Reports the outcome of a relayed order to the leader. */
@@ -42,6 +47,8 @@
   readonly type: 'order-outcome';
   readonly id: number;
   readonly outcome: OrderOutcome;
+  /** Reading of the carrier's clock; not in every message. */
+  readonly clockMs?: number;
 }
 
 /** Tells a carrier to close its connections to an upstream. */
--- a/packages/dispatch/src/messages/peer_messages.ts
+++ b/packages/dispatch/src/messages/peer_messages.ts
@@ -40,7 +40,12 @@
       readonly origin: CallOrigin;
     }
   | {readonly type: 'reply'; readonly id: number; readonly reply: Reply}
-  | {readonly type: 'view'; readonly view: GroupView}
+  | {
+      readonly type: 'view';
+      readonly view: GroupView;
+      /** Reading of the sender's clock; absent from earlier programs. */
+      readonly clockMs?: number;
+    }
   | {
       readonly type: 'log';
       readonly from: MemberId;
--- a/packages/dispatch/src/warm_up/owner_warm_up.ts
+++ b/packages/dispatch/src/warm_up/owner_warm_up.ts
@@ -206,7 +206,7 @@
       }),
     );
     const carrier = {address: `${LOOPBACK}:${server.port}`, dataCentre: ''};
-    return life.own(
+    const relay = life.own(
       new OrderRelay({
         directPort: port,
         getCarriers: () => [carrier],
@@ -215,6 +215,8 @@
         logger: SILENT,
       }),
     );
+    relay.clockRead(carrier.address, performance.now());
+    return relay;
   }
 
   private async runBatches(): Promise<void> {
--- a/packages/dispatch/tests/fake_upstreams.ts
+++ b/packages/dispatch/tests/fake_upstreams.ts
@@ -45,7 +45,7 @@
 
 /** A fake upstream; its clock has an offset of its own. */
 export class FakeUpstream {
-  readonly clockBase: number;
+  private clockBase: number;
   readonly runs = new Map<string, FakeRun>();
   ends: RunEnd[] = [];
   token = 0;
@@ -106,6 +106,7 @@
     this.sequence = 0;
     this.token = 0;
     this.leaseUntil = 0;
+    this.clockBase = 5_000 + this.id.length - performance.now();
     this.highestForbiddenRun.clear();
     this.startedAt++;
   }
