Don't hide an upstream that answers behind one that doesn't

Seen: an announcement of another sender with the id of one upstream and the address of a silent one would still displace the first. Evidence: 'keeps the runs of an upstream beside one that does not answer' fails before the change. Change: the first upstream that answers for itself decides. Result: the test passes.

--- a/packages/dispatch/src/instance/arrival_clock.ts
+++ b/packages/dispatch/src/instance/arrival_clock.ts
@@ -9,9 +9,10 @@
 }
 
 /**
- * Time of arrival of one message; now by default. While a machine is suspended, the monotonic
- * clock stops and the wall clock goes on; a step back of the wall clock must
- * not make the message younger. So the larger of the two elapsed times counts.
+ * Time of arrival of one message, by default now. While a machine is suspended,
+ * the monotonic clock stops and the wall clock goes on; a step back of the wall
+ * clock must not make the message younger. So the larger of the two elapsed
+ * times counts.
  */
 export class MessageArrival {
   constructor(private readonly earliest: Reading = readClocks()) {}
--- a/packages/dispatch/src/owner/displacement_check.ts
+++ b/packages/dispatch/src/owner/displacement_check.ts
@@ -33,17 +33,29 @@
     const displaced = findDisplaced(announcement, sessions);
     if (displaced.length === 0) return undefined;
     this.pending.set(id, announcement);
-    const answers = displaced.map(async session => {
-      const isPresent = await session.isPresent(session.record.id === id);
-      return isPresent ? session : undefined;
-    });
-    const timeout = sleep(ANSWER_TIMEOUT_MS).then(() => []);
-    const present = await Promise.race([Promise.all(answers), timeout]);
+    const present = await findFirstPresent(displaced, id);
     if (this.pending.get(id) === announcement) this.pending.delete(id);
-    return present.find(session => session !== undefined);
+    return present;
   }
 }
 
+/** Asks all at once; one that doesn't answer must not hide one that does. */
+function findFirstPresent(
+  displaced: readonly UpstreamSession[],
+  announcedId: string,
+): Promise<UpstreamSession | undefined> {
+  return new Promise(resolve => {
+    const answers = displaced.map(async session => {
+      const hasSameId = session.record.id === announcedId;
+      if (await session.isPresent(hasSameId)) resolve(session);
+    });
+    const limit = sleep(ANSWER_TIMEOUT_MS);
+    void Promise.race([Promise.all(answers), limit]).then(() =>
+      resolve(undefined),
+    );
+  });
+}
+
 function findDisplaced(
   {id, address, startedAt}: Announcement,
   sessions: readonly UpstreamSession[],
--- a/packages/dispatch/tests/owner/foreign_announcements.test.ts
+++ b/packages/dispatch/tests/owner/foreign_announcements.test.ts
@@ -80,6 +80,16 @@
     });
   }
 
+  // Guards against an answer that is not used, as another one does not come.
+  it('keeps the runs of an upstream beside one that does not answer', async () => {
+    harness.upstream(1).delivery = () => 'lost';
+    // The timeout of its holds has grown by now.
+    await harness.advanceClock(600);
+    const record = harness.state.upstreams.get('u0')?.record;
+    await announce({address: harness.upstream(1).address});
+    expect(harness.state.upstreams.get('u0')?.record).to.deep.equal(record);
+  });
+
   // Guards against an upstream that the next owner takes for another one.
   it('does not keep an announcement that the upstream contradicts', async () => {
     const before = must(harness.state.upstreams.get('u0'), 'not registered');
