--- a/review/kit-3/worker.mjs
+++ b/review/kit-3/worker.mjs
@@ -56,9 +56,6 @@
     this.ends = [];
     this.over = new Map();
     this.server = createServer((req, res) => void this.serve(req, res));
-    this.server.on('connection', socket => {
-      if (this.isCut && this.resets) socket.destroy();
-    });
     this.server.listen(this.port, this.ip);
     await once(this.server, 'listening');
     this.isUp = true;
@@ -107,15 +104,9 @@
     this.leavesAt = performance.now() + forMs;
   }
 
-  /**
-   * Cut off: nothing arrives or leaves, what runs runs on.
-   *
-   * @param options.resets Whether connections break at once.
-   */
-  cutOff({resets = false} = {}) {
+  /** Cut off: nothing arrives or leaves, what runs runs on. */
+  cutOff() {
     this.isCut = true;
-    this.resets = resets;
-    if (resets) this.server.closeAllConnections();
   }
 
   /** Ends the cut; callers find the connections of before it broken. */
